--- /dev/null
+++ b/admission/pool/pool.go
@@ -0,0 +1,429 @@
+// Package pool decides which target of a service runs a request now, which
+// requests wait at this host, and which are refused at once. It is a pure state
+// machine: events and the current time go in, actions come out. It is not safe
+// for concurrent use.
+//
+// Patterns of load that it answers to:
+//   - a crest above what the targets can run: requests that cannot be answered
+//     within their latency goal are refused on arrival, with the time at which
+//     there will be room; urgent ones wait before others;
+//   - targets of different speeds, slow and cold ones: the expected time to an
+//     answer decides, learned from the answers;
+//   - targets that shed, hang or fail: their window closes at once and opens
+//     again with each good answer;
+//   - keys whose owner is full: only the requests of that owner wait.
+package pool
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/mangopost/mangopost/ownership/keyrange"
+)
+
+// Distance is how far a target is from this host.
+type Distance uint8
+
+const (
+	// SameZone is the host's data centre.
+	SameZone Distance = iota
+	// SameRegion is another data centre of the region.
+	SameRegion
+	// Far is another region.
+	Far
+)
+
+// Config tunes a pool.
+type Config struct {
+	Keyed   bool
+	Penalty [3]time.Duration // added to the expected time, by distance
+	Backlog float64          // share of a target's slots that may wait there
+	Service time.Duration    // expected time of a request before any was seen
+	MaxWait int              // requests that may wait
+	NoOwner time.Duration    // how long requests wait for an owner of their key
+	Cooling time.Duration    // without new work after a target shed
+}
+
+// DefaultConfig holds for a service without keys.
+var DefaultConfig = Config{
+	Penalty: [3]time.Duration{0, 5 * time.Millisecond, 150 * time.Millisecond},
+	Backlog: 0.34,
+	Service: 150 * time.Millisecond,
+	MaxWait: 512,
+	NoOwner: 400 * time.Millisecond,
+	Cooling: 60 * time.Millisecond,
+}
+
+// Target is what is believed of one start of a target.
+type Target struct {
+	Owner    keyrange.Owner
+	Distance Distance
+	Slots    int
+	Leaving  bool          // takes no new work
+	ColdFor  time.Duration // how much longer it is slow
+	Limit    int           // requests of this host that it may run: its share of connections; 0: no limit
+}
+
+// Request is a request that waits for a target.
+type Request struct {
+	ID       uint64
+	Key      int // of a keyed service
+	Priority int // 0 is the most urgent
+	Arrived  time.Duration
+	Goal     time.Duration // moment by which the answer has its full value
+	Deadline time.Duration // moment from which no answer is of use
+	Tried    []string      // targets that it was sent to
+	NotUntil time.Duration // is not sent before
+}
+
+// Reason says why a request was refused.
+type Reason string
+
+const (
+	// NoTarget: no target of the service may take work.
+	NoTarget Reason = "no-target"
+	// NoOwner: the key has no owner that may take work.
+	NoOwner Reason = "no-owner"
+	// Full: the request would wait for longer than is of use.
+	Full Reason = "full"
+	// Late: its time ran out while it waited.
+	Late Reason = "late"
+	// Urgent: a more urgent request took its place.
+	Urgent Reason = "displaced"
+)
+
+// Action is a decision on one request.
+type Action struct {
+	ID         uint64
+	Start      bool
+	Target     keyrange.Owner // of a start
+	Fence      uint64         // of a start, for the log
+	Waited     time.Duration
+	Reason     Reason        // of a refusal
+	RetryAfter time.Duration // of a refusal: when there will be room
+}
+
+// Result is what became of a request at a target.
+type Result uint8
+
+const (
+	// Answered: a whole answer came that is not a failure of the target.
+	Answered Result = iota
+	// Failed: the target answered with a failure of its own.
+	Failed
+	// Shed: the target refused for lack of room, without running it.
+	Shed
+	// NotOwner: the target does not hold the key.
+	NotOwner
+	// Unreachable: no connection could be made.
+	Unreachable
+	// Broken: the connection ended or the answer was damaged.
+	Broken
+	// Silent: no answer came in time.
+	Silent
+	// Abandoned: the caller left.
+	Abandoned
+)
+
+// Pool is the state of one service at one host.
+type Pool struct {
+	cfg     Config
+	targets map[string]*target
+	owners  *keyrange.Map
+	waiting []Request // by priority, then arrival
+	service estimate  // time of a request over all targets
+}
+
+// New returns a pool without targets.
+func New(cfg Config) *Pool {
+	p := &Pool{cfg: cfg, targets: make(map[string]*target)}
+	p.service.reset(cfg.Service)
+	return p
+}
+
+// SetTargets replaces the targets. What was learned of those that stay is kept;
+// another start of a target begins anew.
+func (p *Pool) SetTargets(now time.Duration, targets []Target) {
+	seen := make(map[string]bool, len(targets))
+	for _, t := range targets {
+		seen[t.Owner.Target] = true
+		old := p.targets[t.Owner.Target]
+		if old == nil || !old.Owner.Same(t.Owner) {
+			old = newTarget(t, p.service.value)
+			p.targets[t.Owner.Target] = old
+		}
+		old.update(now, t)
+	}
+	for name, t := range p.targets {
+		if !seen[name] {
+			t.Leaving = true
+			if t.running == 0 {
+				delete(p.targets, name)
+			}
+		}
+	}
+}
+
+// SetOwners replaces the map of a keyed service.
+func (p *Pool) SetOwners(m *keyrange.Map) { p.owners = m }
+
+// SetOthers takes in how many requests all other hosts run at each target, as
+// they last reported.
+func (p *Pool) SetOthers(running map[string]float64) {
+	for name, t := range p.targets {
+		t.others = running[name]
+	}
+}
+
+// Running returns the requests that this host runs at each target.
+func (p *Pool) Running() map[string]int {
+	out := make(map[string]int, len(p.targets))
+	for name, t := range p.targets {
+		if t.running > 0 {
+			out[name] = t.running
+		}
+	}
+	return out
+}
+
+// Speeds returns the learned time of a request at each target that is not full,
+// in seconds.
+func (p *Pool) Speeds() map[string]float64 {
+	out := make(map[string]float64, len(p.targets))
+	for name, t := range p.targets {
+		if t.unloaded.samples > 0 {
+			out[name] = t.unloaded.value.Seconds()
+		}
+	}
+	return out
+}
+
+// Waiting returns the number of requests that wait.
+func (p *Pool) Waiting() int { return len(p.waiting) }
+
+// Arrive decides on a request. No action for its ID means that it waits.
+func (p *Pool) Arrive(now time.Duration, r Request) []Action {
+	if now >= r.NotUntil {
+		if t, fence, ok := p.pick(now, r); ok && !p.blocked(r) {
+			return []Action{p.start(now, t, fence, r)}
+		}
+	}
+	if a, refused := p.refuseOnArrival(now, r); refused {
+		return []Action{a}
+	}
+	i, _ := slices.BinarySearchFunc(p.waiting, r, order)
+	p.waiting = slices.Insert(p.waiting, i, r)
+	if len(p.waiting) <= p.cfg.MaxWait {
+		return nil
+	}
+	last := p.waiting[len(p.waiting)-1]
+	p.waiting = p.waiting[:len(p.waiting)-1]
+	return []Action{p.refuse(now, last, Urgent, p.expectedWait(last))}
+}
+
+func order(a, b Request) int {
+	return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.Arrived, b.Arrived), cmp.Compare(a.ID, b.ID))
+}
+
+// blocked reports whether a request waits that is to run before r at the same
+// place.
+func (p *Pool) blocked(r Request) bool {
+	if p.cfg.Keyed {
+		return false // pick looked at the key's owner; Tick starts in order
+	}
+	return len(p.waiting) > 0 && order(p.waiting[0], r) < 0
+}
+
+func (p *Pool) start(now time.Duration, t *target, fence uint64, r Request) Action {
+	t.running++
+	return Action{ID: r.ID, Start: true, Target: t.Owner, Fence: fence, Waited: now - r.Arrived}
+}
+
+func (p *Pool) refuse(now time.Duration, r Request, why Reason, wait time.Duration) Action {
+	return Action{ID: r.ID, Reason: why, RetryAfter: max(wait, minRetryAfter), Waited: now - r.Arrived}
+}
+
+// minRetryAfter spares the hosts callers that come back at once.
+const minRetryAfter = 50 * time.Millisecond
+
+// refuseOnArrival decides whether a request that cannot start now waits.
+func (p *Pool) refuseOnArrival(now time.Duration, r Request) (Action, bool) {
+	reason, known := p.placed(r)
+	if !known {
+		limit := min(r.Arrived+p.cfg.NoOwner, r.Deadline)
+		if now >= limit {
+			return p.refuse(now, r, reason, p.cfg.NoOwner), true
+		}
+		return Action{}, false
+	}
+	wait := p.expectedWait(r)
+	latest := max(r.Goal, r.Arrived+(r.Deadline-r.Arrived)/3)
+	if now+wait+p.service.value > min(latest, r.Deadline) && now-r.Arrived < p.cfg.Cooling {
+		return p.refuse(now, r, Full, wait), true
+	}
+	return Action{}, false
+}
+
+// placed reports whether some target may run the request at all, now or later.
+func (p *Pool) placed(r Request) (Reason, bool) {
+	if p.cfg.Keyed {
+		t, _ := p.owner(r.Key)
+		return NoOwner, t != nil
+	}
+	for _, t := range p.targets {
+		if !t.Leaving {
+			return "", true
+		}
+	}
+	return NoTarget, false
+}
+
+// expectedWait estimates how long the request waits for those before it.
+func (p *Pool) expectedWait(r Request) time.Duration {
+	if p.cfg.Keyed {
+		t, _ := p.owner(r.Key)
+		if t == nil {
+			return p.cfg.NoOwner
+		}
+		ahead := 1
+		for _, w := range p.waiting {
+			if o, _ := p.owner(w.Key); o == t && order(w, r) < 0 {
+				ahead++
+			}
+		}
+		return time.Duration(float64(ahead) / t.rate(p.cfg.Backlog) * float64(time.Second))
+	}
+	ahead, rate := 1, 0.0
+	for _, w := range p.waiting {
+		if order(w, r) < 0 {
+			ahead++
+		}
+	}
+	for _, t := range p.targets {
+		if !t.Leaving && t.Distance != Far {
+			rate += t.rate(p.cfg.Backlog)
+		}
+	}
+	return time.Duration(float64(ahead) / max(rate, 1) * float64(time.Second))
+}
+
+// owner returns the target that owns the key and may take work, and its fence.
+func (p *Pool) owner(key int) (*target, uint64) {
+	if p.owners == nil {
+		return nil, 0
+	}
+	i := p.owners.At(key)
+	if i < 0 || len(p.owners.Ranges[i].Prev) > 0 {
+		return nil, 0
+	}
+	r := p.owners.Ranges[i]
+	t := p.targets[r.Owner.Target]
+	if t == nil || t.Leaving || !t.Owner.Same(r.Owner) {
+		return nil, 0
+	}
+	return t, r.Fence
+}
+
+// pick returns the target that runs the request now.
+func (p *Pool) pick(now time.Duration, r Request) (*target, uint64, bool) {
+	if p.cfg.Keyed {
+		t, fence := p.owner(r.Key)
+		if t == nil || !t.room(now, p.cfg.Backlog) {
+			return nil, 0, false
+		}
+		return t, fence, true
+	}
+	var best *target
+	bestCost := math.Inf(1)
+	for _, t := range p.targets {
+		if t.Leaving || !t.room(now, p.cfg.Backlog) || slices.Contains(r.Tried, t.Owner.Target) {
+			continue
+		}
+		c := t.cost(now, p.cfg)
+		if c < bestCost || c == bestCost && t.Owner.Target < best.Owner.Target {
+			best, bestCost = t, c
+		}
+	}
+	return best, 0, best != nil
+}
+
+// Tick starts what may start and refuses what waited too long. It is to be
+// called after each event and at least every Cooling while requests wait.
+func (p *Pool) Tick(now time.Duration) []Action {
+	var actions []Action
+	kept := p.waiting[:0]
+	full := make(map[*target]bool)
+	stuck := false
+	for _, r := range p.waiting {
+		if a, done := p.tryWaiting(now, r, full, &stuck); done {
+			actions = append(actions, a)
+			continue
+		}
+		kept = append(kept, r)
+	}
+	clear(p.waiting[len(kept):])
+	p.waiting = kept
+	return actions
+}
+
+func (p *Pool) tryWaiting(now time.Duration, r Request, full map[*target]bool, stuck *bool) (Action, bool) {
+	if now+minUseful >= r.Deadline {
+		return p.refuse(now, r, Late, p.expectedWait(r)), true
+	}
+	var owner *target
+	if p.cfg.Keyed {
+		if owner, _ = p.owner(r.Key); owner == nil {
+			return p.refuseOnArrival(now, r)
+		}
+	}
+	if now < r.NotUntil || *stuck || full[owner] {
+		return Action{}, false
+	}
+	t, fence, ok := p.pick(now, r)
+	switch {
+	case ok:
+		return p.start(now, t, fence, r), true
+	case p.cfg.Keyed:
+		full[owner] = true
+	case len(r.Tried) == 0:
+		*stuck = true
+	}
+	return Action{}, false
+}
+
+// minUseful is the least time left with which a request is worth sending.
+const minUseful = 30 * time.Millisecond
+
+// Cancel removes a waiting request. It reports whether it waited.
+func (p *Pool) Cancel(id uint64) bool {
+	i := slices.IndexFunc(p.waiting, func(r Request) bool { return r.ID == id })
+	if i < 0 {
+		return false
+	}
+	p.waiting = slices.Delete(p.waiting, i, i+1)
+	return true
+}
+
+// Finish takes in what became of a request that was started at a target.
+func (p *Pool) Finish(now time.Duration, owner keyrange.Owner, took time.Duration, result Result) {
+	t := p.targets[owner.Target]
+	if t == nil || !t.Owner.Same(owner) {
+		return
+	}
+	t.running = max(0, t.running-1)
+	t.finish(now, took, result, p.cfg)
+	if result == Answered {
+		p.service.add(took)
+	}
+}
+
+// String names the result in logs and metrics.
+func (r Result) String() string {
+	names := [...]string{"answered", "failed", "shed", "not-owner", "unreachable", "broken", "silent", "abandoned"}
+	if int(r) < len(names) {
+		return names[r]
+	}
+	return "unspecified"
+}
--- /dev/null
+++ b/cmd/mangopost-entry/main.go
@@ -0,0 +1,80 @@
+// Command mangopost-entry is the process of an entry host on the users' platform:
+// it takes callers' requests, sends each to a target, and plans who owns which
+// keys when it is its turn.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/cockroachdb/errors"
+	"github.com/hashicorp/go-hclog"
+	"github.com/jessevdk/go-flags"
+
+	"github.com/mangopost/mangopost/finding"
+	"github.com/mangopost/mangopost/internal/daemon"
+	"github.com/mangopost/mangopost/internal/entry"
+	"github.com/mangopost/mangopost/kernel"
+	"github.com/mangopost/mangopost/platform"
+)
+
+// gcPercent keeps the heap small: memory is dearer than processor time here.
+const gcPercent = 50
+
+// memoryShare is the part of the machine's memory from which on the collector
+// works harder.
+const memoryShare = 0.8
+
+type options struct {
+	MetricsPort uint16 `long:"metrics-port" default:"9464" value-name:"PORT" description:"port of the metrics, at the host's IP"`
+	Check       bool   `long:"check" description:"check the settings, print every finding with its place, and exit"`
+}
+
+func main() { os.Exit(run()) }
+
+func run() int {
+	var opts options
+	if _, err := flags.Parse(&opts); err != nil {
+		if flags.WroteHelp(err) {
+			return daemon.ExitOK
+		}
+		return daemon.ExitBadInput
+	}
+	settings, err := platform.LoadSettings(os.Getenv(platform.SettingsVariable))
+	if err != nil {
+		printFindings(err)
+		return daemon.ExitBadInput
+	}
+	if opts.Check {
+		fmt.Println("settings are good")
+		return daemon.ExitOK
+	}
+	return serve(settings, opts.MetricsPort)
+}
+
+func printFindings(err error) {
+	var bad *platform.Error
+	if errors.As(err, &bad) {
+		finding.Print(os.Stderr, bad.Findings)
+		return
+	}
+	fmt.Fprintf(os.Stderr, "%v (the variable %s names the settings file)\n", err, platform.SettingsVariable)
+}
+
+func serve(s *platform.Settings, metricsPort uint16) int {
+	debug.SetGCPercent(gcPercent)
+	debug.SetMemoryLimit(int64(memoryShare * float64(s.Memory)))
+	logger := kernel.NewJSONLogger("entry", hclog.Info, os.Stdout)
+	signal.Ignore(syscall.SIGPIPE) // a closed log must not end the process
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	if err := entry.New(s, metricsPort, logger).Run(ctx); err != nil {
+		logger.Error("ended", "error", err)
+		return daemon.ExitFailed
+	}
+	return daemon.ExitOK
+}
--- /dev/null
+++ b/internal/entry/events.go
@@ -0,0 +1,42 @@
+package entry
+
+import (
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/mangopost/mangopost/kernel"
+)
+
+// Events of an entry process; docs/EVENTS.md is their catalogue.
+var (
+	evStarted   = kernel.RegisterEvent(6000, hclog.Info, "process started")
+	evStopping  = kernel.RegisterEvent(6001, hclog.Info, "process is stopping")
+	evReloaded  = kernel.RegisterEvent(6002, hclog.Info, "settings read again")
+	evBadReload = kernel.RegisterEvent(6003, hclog.Error, "settings not taken: mistakes in the file")
+	evReady     = kernel.RegisterEvent(6004, hclog.Info, "readiness changed")
+	evEnded     = kernel.RegisterEvent(6005, hclog.Info, "process ends")
+
+	evStoreLost     = kernel.RegisterEvent(6010, hclog.Warn, "no answer from the store")
+	evStoreBack     = kernel.RegisterEvent(6011, hclog.Info, "the store answers again")
+	evBadObject     = kernel.RegisterEvent(6012, hclog.Warn, "object of the store not taken: it can't be read")
+	evConfiguration = kernel.RegisterEvent(6013, hclog.Info, "configuration in force")
+	evTargets       = kernel.RegisterEvent(6014, hclog.Info, "target changed")
+	evOwners        = kernel.RegisterEvent(6015, hclog.Info, "map of owners in force")
+
+	evAnswered = kernel.RegisterEvent(6100, hclog.Info, "request answered by a target")
+	evRefused  = kernel.RegisterEvent(6101, hclog.Info, "request refused: not run")
+	evUnknown  = kernel.RegisterEvent(6102, hclog.Warn, "request ended without an answer: it may have run")
+	evRetried  = kernel.RegisterEvent(6103, hclog.Info, "request is sent again")
+	evLeft     = kernel.RegisterEvent(6104, hclog.Info, "caller left")
+	evLeftOut  = kernel.RegisterEvent(6105, hclog.Info, "lines left out")
+
+	evCoordinator   = kernel.RegisterEvent(6200, hclog.Info, "this host is the coordinator")
+	evNoCoordinator = kernel.RegisterEvent(6201, hclog.Warn, "this host is no longer the coordinator")
+	evMove          = kernel.RegisterEvent(6202, hclog.Info, "keys are given to an owner")
+	evReleased      = kernel.RegisterEvent(6203, hclog.Info, "keys released by an owner")
+	evGranted       = kernel.RegisterEvent(6204, hclog.Info, "keys granted to their new owner")
+	evGrantFailed   = kernel.RegisterEvent(6205, hclog.Warn, "grant failed")
+	evTargetDown    = kernel.RegisterEvent(6206, hclog.Warn, "target is down: it refuses connections and writes nothing")
+	evWriteFailed   = kernel.RegisterEvent(6207, hclog.Warn, "map of owners not written")
+	evLongGrants    = kernel.RegisterEvent(6208, hclog.Warn, "grants are prolonged: the store does not answer")
+	evReportFailed  = kernel.RegisterEvent(6209, hclog.Warn, "report to the coordinator failed")
+)
--- /dev/null
+++ b/internal/entry/granting.go
@@ -0,0 +1,217 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/mangopost/mangopost/ownership/keyrange"
+	wire "github.com/mangopost/mangopost/platform"
+)
+
+const (
+	// releaseTimeout is for one answer to a release, which comes when the work on
+	// the keys has ended.
+	releaseTimeout = 2500 * time.Millisecond
+	// moveRetryEvery is the pause between two tries of an order of a move.
+	moveRetryEvery = 150 * time.Millisecond
+	// silentBeats is the number of heartbeats that a target which refuses
+	// connections must have missed to count as down.
+	silentBeats = 1.5
+)
+
+// grant sends one grant and reports whether the target took it. The lease is
+// checked directly before.
+func (t *term) grant(service string, r keyrange.Range, s *rangeState) bool {
+	holdFor := hold
+	if t.o.longGrants() {
+		holdFor = t.n.settings.Load().Bounds.GrantMax
+		t.n.log.Emit(evLongGrants, "service", service, "from", r.From, "to", r.To, "target", r.Owner.Target, "hold_ms", ms(holdFor))
+	}
+	t.mu.Lock()
+	s.renewed = leaseClock()
+	order := wire.Order{
+		Target: r.Owner.Target, Addr: r.Owner.Addr, From: r.From, To: r.To, Fence: r.Fence, Hold: holdFor, Handover: s.handover,
+	}
+	t.ledger.Sending(r.Owner, r.Fence)
+	t.mu.Unlock()
+	var err error
+	if t.o.holds() {
+		err = t.orders.Grant(t.ctx, order)
+	} else {
+		err = errors.New("the lease has ended")
+	}
+	t.noteGrant(service, r, holdFor, err)
+	return err == nil
+}
+
+// noteGrant takes in what became of a grant.
+func (t *term) noteGrant(service string, r keyrange.Range, holdFor time.Duration, err error) {
+	t.mu.Lock()
+	now := leaseClock()
+	switch {
+	case err == nil || wire.Answered(err):
+		t.ledger.Answered(now, r.Owner, r.Fence, holdFor)
+	default:
+		t.ledger.GivenUp(now, r.Owner, r.Fence, holdFor)
+	}
+	t.mu.Unlock()
+	if err == nil {
+		t.n.counters.grants("taken")
+		t.reached(r.Owner)
+		return
+	}
+	t.n.counters.grants("failed")
+	if t.ctx.Err() == nil {
+		t.n.log.Emit(evGrantFailed, "service", service, "from", r.From, "to", r.To, "target", r.Owner.Target,
+			"fence", r.Fence, "error", err.Error())
+	}
+	if refused(err) {
+		t.refusedBy(r.Owner)
+	}
+}
+
+// reached notes that a target took an order.
+func (t *term) reached(owner keyrange.Owner) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.down, owner)
+}
+
+// refusedBy notes that a target refused a connection.
+func (t *term) refusedBy(owner keyrange.Owner) {
+	t.mu.Lock()
+	t.down[owner]++
+	count := t.down[owner]
+	t.mu.Unlock()
+	if count == refusals && t.isDown(owner) {
+		t.n.log.Emit(evTargetDown, "target", owner.Target, "run", owner.Run, "refusals", count)
+	}
+}
+
+// isDown reports whether a target has ended: it refused several connections in a
+// row, and wrote no heartbeat to a store that answers. A refused connection alone
+// may be one too many.
+func (t *term) isDown(owner keyrange.Owner) bool {
+	t.mu.Lock()
+	count := t.down[owner]
+	t.mu.Unlock()
+	if count < refusals {
+		return false
+	}
+	_, silent, ok := t.entryOf(owner)
+	return !ok || silent > time.Duration(silentBeats*float64(t.n.settings.Load().Heartbeat))
+}
+
+// move ends the grants of a range's earlier owners, grants it to the new one, and
+// notes in the map that it is served.
+func (t *term) move(service string, r keyrange.Range, s *rangeState) {
+	defer t.done(s)
+	for _, prev := range r.Prev {
+		if !t.free(service, r, prev, s) {
+			return
+		}
+	}
+	for !t.grant(service, r, s) {
+		if !t.current(service, r) || !sleep(t.ctx, moveRetryEvery) {
+			return
+		}
+	}
+	t.n.log.Emit(evGranted, "service", service, "from", r.From, "to", r.To, "target", r.Owner.Target, "fence", r.Fence, "handover", s.handover != "")
+	t.settle(service, r, s)
+}
+
+// free waits until an earlier owner holds the range no more. It reports false
+// when the move is no longer wanted.
+func (t *term) free(service string, r keyrange.Range, prev keyrange.Previous, s *rangeState) bool {
+	for t.current(service, r) {
+		if t.ended(prev) {
+			return true
+		}
+		handover, err := t.release(r, prev)
+		if err == nil {
+			t.mu.Lock()
+			s.handover = handover
+			t.mu.Unlock()
+			t.n.log.Emit(evReleased, "service", service, "from", r.From, "to", r.To, "target", prev.Target, "fence", prev.Fence)
+			return t.waitUnclear(service, r, prev)
+		}
+		if refused(err) {
+			t.refusedBy(prev.Owner)
+		}
+		if !sleep(t.ctx, moveRetryEvery) {
+			return false
+		}
+	}
+	return false
+}
+
+// ended reports whether an earlier owner can hold nothing any more: it ended, or
+// all its grants did.
+func (t *term) ended(prev keyrange.Previous) bool {
+	if t.isGone(prev.Owner) || t.isDown(prev.Owner) {
+		return true
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	end, ok := t.ledger.EndOf(prev.Owner, prev.Fence)
+	return ok && leaseClock() >= end
+}
+
+func (t *term) release(r keyrange.Range, prev keyrange.Previous) (string, error) {
+	ctx, cancel := context.WithTimeout(t.ctx, releaseTimeout)
+	defer cancel()
+	if !t.o.holds() {
+		return "", errors.New("the lease has ended")
+	}
+	return t.orders.Release(ctx, wire.Order{Target: prev.Target, Addr: prev.Addr, From: r.From, To: r.To, Fence: prev.Fence})
+}
+
+// waitUnclear waits until grants that may be applied after the release have ended.
+func (t *term) waitUnclear(service string, r keyrange.Range, prev keyrange.Previous) bool {
+	for t.current(service, r) {
+		t.mu.Lock()
+		end, ok := t.ledger.EndOfUnclear(prev.Owner, prev.Fence)
+		t.mu.Unlock()
+		if ok && leaseClock() >= end {
+			return true
+		}
+		if !sleep(t.ctx, moveRetryEvery) {
+			return false
+		}
+	}
+	return false
+}
+
+// current reports whether the map still has the range with this fence.
+func (t *term) current(service string, r keyrange.Range) bool {
+	t.saving.Lock()
+	defer t.saving.Unlock()
+	owned := t.maps[service]
+	if owned == nil || owned.keys == nil {
+		return false
+	}
+	i := owned.keys.At(r.From)
+	return i >= 0 && owned.keys.Ranges[i].Fence == r.Fence && owned.keys.Ranges[i].To == r.To
+}
+
+// settle notes in the map that the owner of a range has it.
+func (t *term) settle(service string, r keyrange.Range, s *rangeState) {
+	t.mu.Lock()
+	s.settled = leaseClock()
+	t.mu.Unlock()
+	t.saving.Lock()
+	defer t.saving.Unlock()
+	owned := t.maps[service]
+	if owned == nil || owned.keys == nil {
+		return
+	}
+	next := owned.keys.Clone()
+	if !next.Settle(r.From, r.Fence) {
+		return
+	}
+	if err := t.save(service, next); err != nil {
+		t.n.log.Emit(evWriteFailed, "service", service, "from", r.From, "error", err.Error())
+	}
+}
--- /dev/null
+++ b/internal/entry/node.go
@@ -0,0 +1,288 @@
+// Package entry is the process of an entry host on the users' platform: it takes
+// callers' requests and sends each to a target in one hop. One of the hosts,
+// the coordinator, also plans who owns which keys and grants them.
+package entry
+
+import (
+	"context"
+	"net/netip"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/mangopost/mangopost/admission/pool"
+	"github.com/mangopost/mangopost/kernel"
+	"github.com/mangopost/mangopost/membership/directory"
+	"github.com/mangopost/mangopost/ownership/keyrange"
+	"github.com/mangopost/mangopost/platform"
+	"github.com/mangopost/mangopost/routing"
+)
+
+const (
+	maxKey = keyrange.MaxKey
+	// assumedHosts is the number of hosts that share limits until the coordinator
+	// has told it: the largest of today's sites.
+	assumedHosts = 12
+	// retryShare is the part of the common retry budget that the hosts use, so that
+	// the calls of targets and uneven shares stay within it.
+	retryShare = 0.6
+	// connectionShare is the part of a target's connections that the hosts use.
+	connectionShare = 0.85
+)
+
+// owners is a map of owners as it was read from the store.
+type owners struct {
+	keys    *keyrange.Map
+	version uint64
+}
+
+// Node is one entry process.
+type Node struct {
+	settings atomic.Pointer[platform.Settings]
+	metrics  netip.AddrPort
+	log      *kernel.EventLog
+	store    *platform.Store
+	conns    *connPool
+	counters *counters
+	ordinary sampler
+
+	table    atomic.Pointer[routing.Table]
+	numbers  atomic.Uint64
+	inFlight atomic.Int64
+	stopping atomic.Bool
+	hosts    atomic.Int64 // that report to the coordinator
+	heard    atomic.Int64 // last answer of the store, by steady
+
+	mu        sync.Mutex
+	services  map[string]*service
+	splitter  *routing.Splitter
+	directory *directory.Directory
+	owners    map[string]owners
+
+	office *office
+}
+
+// New returns a process that is not running yet.
+func New(s *platform.Settings, metricsPort uint16, logger hclog.Logger) *Node {
+	n := &Node{
+		metrics:  netip.AddrPortFrom(s.IP, metricsPort),
+		log:      kernel.NewEventLog(logger),
+		store:    platform.NewStore(s.Store.String()),
+		conns:    newConnPool(),
+		services: make(map[string]*service),
+		splitter: routing.NewSplitter(),
+		owners:   make(map[string]owners),
+		directory: directory.New(directory.Timing{
+			Away:   2 * s.Heartbeat,
+			Return: storeReturn,
+		}),
+	}
+	n.settings.Store(s)
+	n.hosts.Store(assumedHosts)
+	n.office = newOffice(n)
+	n.counters = newCounters(n)
+	return n
+}
+
+// storeReturn is how long after the store's return the entries that lapsed
+// meanwhile are back: a bound of the platform.
+const storeReturn = 2 * time.Second
+
+// Run serves until ctx ends, then drains.
+func (n *Node) Run(ctx context.Context) error {
+	logCtx, stopLog := context.WithCancel(context.WithoutCancel(ctx))
+	logEnded := make(chan error, 1)
+	go func() { logEnded <- n.log.Run(logCtx) }()
+	s := n.settings.Load()
+	n.log.Emit(evStarted, "host", s.Host, "data_centre", s.DataCentre, "region", s.Region,
+		"callers", s.Callers.String(), "readiness", s.Readiness.String(), "peers", s.Peers.String(), "store", s.Store.String())
+	err := kernel.Run(ctx, n.duties()...)
+	n.log.Emit(evEnded, "in_flight", n.inFlight.Load())
+	stopLog()
+	<-logEnded
+	return err
+}
+
+func (n *Node) duties() []kernel.Duty {
+	return []kernel.Duty{
+		{Name: "callers", Run: n.serveCallers},
+		{Name: "readiness", Run: n.serveReadiness},
+		{Name: "peers", Run: n.servePeers},
+		{Name: "metrics", Run: n.serveMetrics},
+		{Name: "settings", Run: n.watchSettings},
+		{Name: "configuration", Run: n.follow(configurationFeed(n))},
+		{Name: "targets", Run: n.follow(targetFeed(n))},
+		{Name: "owners", Run: n.follow(ownersFeed(n))},
+		{Name: "coordinator", Run: n.office.run},
+		{Name: "reports", Run: n.report},
+		{Name: "housekeeping", Run: n.keepHouse},
+	}
+}
+
+// housekeeping is how often idle connections and lapsed entries are looked at.
+const housekeeping = 500 * time.Millisecond
+
+func (n *Node) keepHouse(ctx context.Context) error {
+	ready := false
+	for sleep(ctx, housekeeping) {
+		n.conns.sweep()
+		n.mu.Lock()
+		if n.directory.Tick(steady()) {
+			n.targetsChanged()
+		}
+		n.mu.Unlock()
+		if now := n.ready(); now != ready {
+			ready = now
+			n.log.Emit(evReady, "ready", ready)
+		}
+	}
+	return nil
+}
+
+// sleep waits and reports false when ctx ended.
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// ready reports whether this host can serve: it knows a configuration, targets,
+// and the owners of the keys of each keyed service.
+func (n *Node) ready() bool {
+	table := n.table.Load()
+	if table == nil || n.stopping.Load() {
+		return false
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if !n.directory.Known() {
+		return false
+	}
+	for name, s := range table.Services {
+		if s.Keyed && n.owners[name].keys == nil {
+			return false
+		}
+	}
+	return true
+}
+
+func (n *Node) storeAge() time.Duration { return steady() - time.Duration(n.heard.Load()) }
+
+func (n *Node) ownersVersion(service string) uint64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.owners[service].version
+}
+
+// serviceOf returns the service of a route's next request.
+func (n *Node) serviceOf(r *routing.Route) *service {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.services[n.splitter.Next(r)]
+}
+
+// configure brings a configuration into force, if it is newer than the one that
+// is. A configuration never reverts.
+func (n *Node) configure(t *routing.Table) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if old := n.table.Load(); old != nil && old.Version >= t.Version {
+		return
+	}
+	for name, s := range t.Services {
+		if old := n.services[name]; old == nil || old.keyed != s.Keyed {
+			n.services[name] = newService(s, n.retryBudget())
+		}
+	}
+	n.table.Store(t)
+	n.log.Emit(evConfiguration, "configuration", platform.FormatVersion(t.Version), "services", len(t.Services))
+	n.targetsChanged()
+	for name, o := range n.owners {
+		n.ownersChanged(name, o)
+	}
+}
+
+// retryBudget returns this host's share of the common retry budget.
+func (n *Node) retryBudget() routing.BudgetConfig {
+	b := n.settings.Load().Bounds
+	return routing.BudgetConfig{
+		Ratio: retryShare * b.RetryRatio,
+		Burst: max(1, retryShare*b.RetrySlack/float64(n.hosts.Load())),
+	}
+}
+
+// targetsChanged passes what is believed of targets on to the pools. mu is held.
+func (n *Node) targetsChanged() {
+	table := n.table.Load()
+	if table == nil {
+		return
+	}
+	for name, s := range table.Services {
+		targets := n.targetsOf(name, s.MaxConnections)
+		n.services[name].change(func(p *pool.Pool) { p.SetTargets(steady(), targets) })
+	}
+}
+
+func (n *Node) targetsOf(service string, connections int) []pool.Target {
+	limit := 0
+	if connections > 0 {
+		limit = max(1, int(connectionShare*float64(connections)/float64(n.hosts.Load())))
+	}
+	var out []pool.Target
+	for _, e := range n.directory.Of(service) {
+		out = append(out, pool.Target{
+			Owner:    ownerOf(e),
+			Distance: n.distance(e.DataCentre),
+			Slots:    e.Slots,
+			Leaving:  e.Leaving,
+			ColdFor:  e.ColdFor,
+			Limit:    limit,
+		})
+	}
+	return out
+}
+
+func ownerOf(e directory.Entry) keyrange.Owner {
+	return keyrange.Owner{Target: e.Name, Run: e.Run, Addr: e.Addr}
+}
+
+func (n *Node) distance(dataCentre string) pool.Distance {
+	s := n.settings.Load()
+	switch {
+	case dataCentre == s.DataCentre:
+		return pool.SameZone
+	case s.Regions[dataCentre] == s.Region:
+		return pool.SameRegion
+	default:
+		return pool.Far
+	}
+}
+
+// setOwners takes in a map of owners that was read from the store, if it is newer
+// than the one that is known.
+func (n *Node) setOwners(service string, o owners) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if o.version <= n.owners[service].version {
+		return
+	}
+	n.owners[service] = o
+	moving := slices.ContainsFunc(o.keys.Ranges, func(r keyrange.Range) bool { return len(r.Prev) > 0 })
+	n.log.Emit(evOwners, "service", service, "version", o.version, "ranges", len(o.keys.Ranges), "fence", o.keys.Fence, "moving", moving)
+	n.ownersChanged(service, o)
+}
+
+// ownersChanged passes a map on to its pool. mu is held.
+func (n *Node) ownersChanged(service string, o owners) {
+	if s := n.services[service]; s != nil && s.keyed {
+		s.change(func(p *pool.Pool) { p.SetOwners(o.keys) })
+	}
+}
--- /dev/null
+++ b/internal/entry/targetconn.go
@@ -0,0 +1,166 @@
+package entry
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// dialTimeout: a connection takes about one round trip, at most 60 ms between
+	// regions.
+	dialTimeout = 400 * time.Millisecond
+	// defaultKeep is how long an idle connection is kept when the target names no
+	// limit of its own.
+	defaultKeep = 4 * time.Second
+	// keepMargin is taken off a target's own limit, so that a request does not
+	// cross its close.
+	keepMargin = time.Second
+	// freshFor is how long after its last answer a connection may carry a request
+	// that must not run twice: a target may drop an idle one unseen, and a
+	// request lost on it counts as run.
+	freshFor = time.Second
+	// userTimeout ends a connection whose bytes are not acknowledged.
+	userTimeout = 1500 * time.Millisecond
+	readBuffer  = 4096
+)
+
+var targetKeepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: 500 * time.Millisecond, Count: 3}
+
+// targetConn is a connection to a target, used for one request at a time.
+type targetConn struct {
+	*net.TCPConn
+	reader *bufio.Reader
+	keep   time.Duration // how long it may stay idle
+	idle   time.Duration // when its last answer came
+	reused bool
+}
+
+// connPool keeps idle connections by address.
+type connPool struct {
+	mu   sync.Mutex
+	idle map[string][]*targetConn
+	dial net.Dialer
+}
+
+func newConnPool() *connPool {
+	return &connPool{
+		idle: make(map[string][]*targetConn),
+		dial: net.Dialer{Timeout: dialTimeout, KeepAliveConfig: targetKeepAlive, Control: setUserTimeout},
+	}
+}
+
+func setUserTimeout(_, _ string, raw syscall.RawConn) error {
+	var failed error
+	err := raw.Control(func(fd uintptr) {
+		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
+	})
+	return errors.CombineErrors(err, failed)
+}
+
+// get returns a connection: an idle one that was used within maxIdle and is
+// still open, or a new one.
+func (p *connPool) get(ctx context.Context, addr string, maxIdle time.Duration) (*targetConn, error) {
+	now := steady()
+	for c := p.pop(addr); c != nil; c = p.pop(addr) {
+		if now-c.idle < min(c.keep, maxIdle) && c.untouched() {
+			c.reused = true
+			return c, nil
+		}
+		_ = c.Close()
+	}
+	conn, err := p.dial.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return nil, errors.Wrap(err, "connect")
+	}
+	tcp := conn.(*net.TCPConn) // the network is tcp
+	return &targetConn{TCPConn: tcp, reader: bufio.NewReaderSize(tcp, readBuffer), keep: defaultKeep}, nil
+}
+
+func (p *connPool) pop(addr string) *targetConn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	conns := p.idle[addr]
+	if len(conns) == 0 {
+		return nil
+	}
+	c := conns[len(conns)-1]
+	conns[len(conns)-1] = nil
+	p.idle[addr] = conns[:len(conns)-1]
+	return c
+}
+
+// put keeps a connection for a later request.
+func (p *connPool) put(addr string, c *targetConn) {
+	if c.reader.Buffered() > 0 || c.SetDeadline(time.Time{}) != nil {
+		_ = c.Close()
+		return
+	}
+	c.idle = steady()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.idle[addr] = append(p.idle[addr], c)
+}
+
+// sweep closes the connections that were idle for too long.
+func (p *connPool) sweep() {
+	now := steady()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for addr, conns := range p.idle {
+		kept := conns[:0]
+		for _, c := range conns {
+			if now-c.idle < c.keep {
+				kept = append(kept, c)
+				continue
+			}
+			_ = c.Close()
+		}
+		clear(conns[len(kept):])
+		if p.idle[addr] = kept; len(kept) == 0 {
+			delete(p.idle, addr)
+		}
+	}
+}
+
+// untouched reports whether an idle connection is open and has brought nothing:
+// bytes that come unasked belong to no request.
+func (c *targetConn) untouched() bool {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, e := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		quiet = errors.Is(e, unix.EAGAIN)
+		return true
+	})
+	return err == nil && quiet
+}
+
+// reset ends the connection at once; bytes on their way are lost.
+func (c *targetConn) reset() {
+	_ = c.SetLinger(0) // fails only on a connection that has ended
+	_ = c.Close()
+}
+
+// noteKeep takes in the value of a Keep-Alive header, such as "timeout=5".
+func (c *targetConn) noteKeep(header string) {
+	for part := range strings.SplitSeq(header, ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
+		seconds, err := strconv.Atoi(value)
+		if err == nil && strings.EqualFold(name, "timeout") {
+			c.keep = max(time.Duration(seconds)*time.Second-keepMargin, keepMargin/2)
+		}
+	}
+}
--- /dev/null
+++ b/internal/entry/term.go
@@ -0,0 +1,371 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/mangopost/mangopost/internal/platform"
+	"github.com/mangopost/mangopost/membership/directory"
+	"github.com/mangopost/mangopost/ownership/grants"
+	"github.com/mangopost/mangopost/ownership/keyrange"
+	"github.com/mangopost/mangopost/placement/hotrange"
+	wire "github.com/mangopost/mangopost/platform"
+)
+
+const (
+	// planEvery is how often ownership is planned: a hot spot is answered within a
+	// second or two.
+	planEvery = 300 * time.Millisecond
+	// renewEvery is how often a grant is prolonged: three may fail in a hold.
+	renewEvery = 1200 * time.Millisecond
+	// hold is how long a grant lasts. It outlasts the time in which another host
+	// becomes coordinator: lease, margin, and a round of renewals.
+	hold = 4500 * time.Millisecond
+	// writeRetry is the pause after a write of a map that was not acknowledged.
+	writeRetry = 100 * time.Millisecond
+	// settleFor is how long a range stays after it has moved, before it may move
+	// for balance again: the window over which loads are smoothed.
+	settleFor = 1500 * time.Millisecond
+	// maxMoving is the number of ranges of a service that may move at once for
+	// balance.
+	maxMoving = 8
+	// refusals is how often in a row a target refuses connections before it may
+	// count as down.
+	refusals = 3
+)
+
+// term is the work of one coordinator while it holds the lease.
+type term struct {
+	o      *office
+	n      *Node
+	orders *wire.Orders
+	ctx    context.Context // ends with the term; nothing of the term outlives it
+	end    context.CancelFunc
+
+	mu     sync.Mutex
+	ledger *grants.Ledger
+	maps   map[string]*ownedMap // by service
+	down   map[keyrange.Owner]int
+	known  map[rangeKey]*rangeState
+	saving sync.Mutex // one write of a map at a time
+}
+
+// ownedMap is a map as the store acknowledged it.
+type ownedMap struct {
+	keys    *keyrange.Map
+	version uint64
+}
+
+type rangeKey struct {
+	service string
+	from    int
+	fence   uint64
+}
+
+// rangeState is what a term knows of one range beyond the map.
+type rangeState struct {
+	renewed  time.Duration // when its last grant was sent
+	settled  time.Duration // when its owner got it
+	busy     bool          // an order for it is under way
+	handover string
+}
+
+func newTerm(ctx context.Context, o *office) *term {
+	ctx, end := context.WithCancel(ctx)
+	now := leaseClock()
+	s := o.n.settings.Load()
+	return &term{
+		o: o, n: o.n, ctx: ctx, end: end,
+		orders: wire.NewOrders(grantTimeout),
+		ledger: grants.NewLedger(now, grantTimeout, s.Bounds.GrantMax),
+		maps:   make(map[string]*ownedMap),
+		down:   make(map[keyrange.Owner]int),
+		known:  make(map[rangeKey]*rangeState),
+	}
+}
+
+// grantTimeout is for a grant's answer: a target answers at once, over at most
+// two round trips between regions.
+const grantTimeout = 600 * time.Millisecond
+
+// run plans and grants until the term ends.
+func (t *term) run() {
+	for sleep(t.ctx, planEvery) {
+		for _, name := range t.keyedServices() {
+			if err := t.planService(name); err != nil {
+				t.n.log.Emit(evWriteFailed, "service", name, "error", err.Error())
+			}
+			t.renew(name)
+		}
+		t.mu.Lock()
+		t.ledger.Forget(leaseClock())
+		t.mu.Unlock()
+	}
+}
+
+func (t *term) keyedServices() []string {
+	var names []string
+	if table := t.n.table.Load(); table != nil {
+		for name, s := range table.Services {
+			if s.Keyed {
+				names = append(names, name)
+			}
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// load reads the map of a service directly from the store.
+func (t *term) load(service string) error {
+	obj, err := t.n.store.Get(t.ctx, ownersPrefix+service)
+	switch {
+	case errors.Is(err, platform.ErrNotFound):
+		t.maps[service] = &ownedMap{}
+		return nil
+	case err != nil:
+		return err
+	}
+	o, err := decodeOwners(obj)
+	if err != nil {
+		return err
+	}
+	t.maps[service] = &ownedMap{keys: o.keys, version: o.version}
+	t.n.setOwners(service, o)
+	return nil
+}
+
+// planService decides on moves, writes them and sets them going.
+func (t *term) planService(service string) error {
+	t.saving.Lock()
+	defer t.saving.Unlock()
+	if t.maps[service] == nil {
+		if err := t.load(service); err != nil {
+			return err
+		}
+	}
+	owned := t.maps[service]
+	targets := t.targets(service)
+	if len(targets) == 0 {
+		return nil
+	}
+	if owned.keys == nil {
+		return t.save(service, firstMap(service, targets))
+	}
+	moves := hotrange.Plan(hotrange.State{
+		Map: owned.keys, Targets: targets, Loads: t.o.loads.of(service), Fixed: t.fixed(service),
+	}, t.limits(owned.keys))
+	if len(moves) == 0 {
+		t.moveAll(service)
+		return nil
+	}
+	next := owned.keys.Clone()
+	for _, m := range moves {
+		next.Assign(m.From, m.To, m.Owner)
+	}
+	if err := t.save(service, next); err != nil {
+		return err
+	}
+	for _, m := range moves {
+		t.n.counters.moves(string(m.Reason))
+		t.n.log.Emit(evMove, "service", service, "from", m.From, "to", m.To, "target", m.Owner.Target,
+			"reason", string(m.Reason), "load", int64(m.Load), "version", t.maps[service].version)
+	}
+	t.moveAll(service)
+	return nil
+}
+
+func (t *term) limits(m *keyrange.Map) hotrange.Limits {
+	limits := hotrange.DefaultLimits
+	moving := 0
+	for _, r := range m.Ranges {
+		if len(r.Prev) > 0 {
+			moving++
+		}
+	}
+	limits.Moves = max(0, min(limits.Moves, maxMoving-moving))
+	return limits
+}
+
+// fixed returns which ranges must stay: those that have just moved, and those of
+// which a grant is unclear and could be applied after a release.
+func (t *term) fixed(service string) func(keyrange.Range) bool {
+	now := leaseClock()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	settled := make(map[uint64]time.Duration)
+	for k, s := range t.known {
+		if k.service == service {
+			settled[k.fence] = max(settled[k.fence], s.settled)
+		}
+	}
+	return func(r keyrange.Range) bool {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		end, ok := t.ledger.EndOfUnclear(r.Owner, r.Fence)
+		return !ok || end > now || settled[r.Fence] > 0 && now < settled[r.Fence]+settleFor
+	}
+}
+
+func firstMap(service string, targets []hotrange.Target) *keyrange.Map {
+	list := make([]keyrange.Owner, len(targets))
+	weights := make([]float64, len(targets))
+	for i, target := range targets {
+		list[i], weights[i] = target.Owner, target.Capacity
+	}
+	return keyrange.New(service, list, weights)
+}
+
+// targets returns the targets of a service that may own keys.
+func (t *term) targets(service string) []hotrange.Target {
+	t.n.mu.Lock()
+	entries := t.n.directory.Of(service)
+	t.n.mu.Unlock()
+	var out []hotrange.Target
+	for _, e := range entries {
+		owner := ownerOf(e)
+		if e.Leaving || t.isDown(owner) {
+			continue
+		}
+		out = append(out, hotrange.Target{Owner: owner, Capacity: t.o.loads.capacity(service, owner.Target, e.Slots)})
+	}
+	return out
+}
+
+// save writes a map on the condition that it is as this term knows it, until a
+// write is acknowledged or another writer was first. saving is held.
+func (t *term) save(service string, next *keyrange.Map) error {
+	if faults := keyrange.Check(next); len(faults) > 0 {
+		return errors.Newf("plan is wrong: %v", faults)
+	}
+	value, err := json.Marshal(next)
+	if err != nil {
+		return errors.Wrap(err, "owners")
+	}
+	owned := t.maps[service]
+	for {
+		if !t.o.holds() {
+			delete(t.maps, service)
+			return errors.New("the lease has ended")
+		}
+		version, err := t.n.store.Put(t.ctx, ownersPrefix+service, owned.version, value)
+		if err == nil {
+			t.maps[service] = &ownedMap{keys: next, version: version}
+			t.n.setOwners(service, owners{keys: next, version: version})
+			return nil
+		}
+		if errors.IsAny(err, platform.ErrConflict, platform.ErrNotFound, platform.ErrRejected) {
+			// An update without an answer may have been done after all, or another
+			// host wrote: what the store holds is read before anything is planned.
+			delete(t.maps, service)
+			return err
+		}
+		if !sleep(t.ctx, writeRetry) {
+			delete(t.maps, service)
+			return err
+		}
+	}
+}
+
+// moveAll sets the moves of a service going that are not. saving is held.
+func (t *term) moveAll(service string) {
+	owned := t.maps[service]
+	for _, r := range owned.keys.Ranges {
+		if len(r.Prev) == 0 {
+			continue
+		}
+		if s, mine := t.begin(service, r); mine {
+			go t.move(service, r, s)
+		}
+	}
+}
+
+// begin claims a range for an order. mine is false while one is under way.
+func (t *term) begin(service string, r keyrange.Range) (s *rangeState, mine bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	k := rangeKey{service, r.From, r.Fence}
+	s = t.known[k]
+	if s == nil {
+		s = &rangeState{}
+		t.known[k] = s
+	}
+	if s.busy {
+		return s, false
+	}
+	s.busy = true
+	return s, true
+}
+
+func (t *term) done(s *rangeState) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s.busy = false
+}
+
+// renew prolongs the grants of a service that are due.
+func (t *term) renew(service string) {
+	t.saving.Lock()
+	owned := t.maps[service]
+	t.saving.Unlock()
+	if owned == nil || owned.keys == nil {
+		return
+	}
+	t.forget(service, owned.keys)
+	long := t.o.longGrants()
+	now := leaseClock()
+	for _, r := range owned.keys.Ranges {
+		if len(r.Prev) > 0 || t.isGone(r.Owner) {
+			continue
+		}
+		t.mu.Lock()
+		s := t.known[rangeKey{service, r.From, r.Fence}]
+		due := s == nil || now >= s.renewed+renewEvery || long && now >= s.renewed+renewEvery/2
+		t.mu.Unlock()
+		if !due {
+			continue
+		}
+		if s, mine := t.begin(service, r); mine {
+			go func() {
+				defer t.done(s)
+				t.grant(service, r, s)
+			}()
+		}
+	}
+}
+
+// forget drops what is known of ranges that are no longer in the map.
+func (t *term) forget(service string, m *keyrange.Map) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	maps.DeleteFunc(t.known, func(k rangeKey, s *rangeState) bool {
+		if k.service != service || s.busy {
+			return false
+		}
+		i := m.At(k.from)
+		return i < 0 || m.Ranges[i].Fence != k.fence || m.Ranges[i].From != k.from
+	})
+}
+
+// isGone reports whether another start of the target, or another target, is
+// known at the owner's place.
+func (t *term) isGone(owner keyrange.Owner) bool {
+	t.n.mu.Lock()
+	defer t.n.mu.Unlock()
+	e, ok := t.n.directory.Get(owner.Target)
+	return ok && e.Run != owner.Run
+}
+
+// entryOf returns the entry of an owner, if it is still in the store.
+func (t *term) entryOf(owner keyrange.Owner) (e directory.Entry, silent time.Duration, ok bool) {
+	t.n.mu.Lock()
+	defer t.n.mu.Unlock()
+	e, ok = t.n.directory.Get(owner.Target)
+	return e, t.n.directory.Silent(owner.Target), ok && e.Run == owner.Run
+}
--- /dev/null
+++ b/ownership/grants/ledger.go
@@ -0,0 +1,112 @@
+// Package grants tracks until when a target may hold keys. It is pure: times are
+// passed in, as readings of a clock that also counts suspended time.
+//
+// A target counts a grant from its arrival, on a clock that may run slow, and a
+// grant without an answer may be applied long after it arrived. So the ledger
+// knows for each grant the latest moment at which it can have arrived: that of
+// its answer, or that at which its connection was reset.
+package grants
+
+import (
+	"time"
+
+	"github.com/mangopost/mangopost/ownership/keyrange"
+)
+
+const (
+	// ClockDrift is how much longer than real time a target's clock may take: a
+	// limit of the platform.
+	ClockDrift = 0.02
+	// Margin covers what lies between a reset and the last byte's arrival.
+	Margin = 150 * time.Millisecond
+)
+
+// End returns when a grant that arrived at latest by arrival has ended.
+func End(arrival, hold time.Duration) time.Duration {
+	return arrival + hold + time.Duration(ClockDrift*float64(hold)) + Margin
+}
+
+type grantKey struct {
+	target string
+	run    int64
+	fence  uint64
+}
+
+type entry struct {
+	end     time.Duration // of every grant
+	unclear time.Duration // of those that were not answered
+	sending int           // grants without answer or reset so far
+}
+
+// Ledger holds the ends of the grants that a coordinator sent. The zero value is
+// not usable.
+type Ledger struct {
+	entries map[grantKey]*entry
+	floor   time.Duration // end of grants of earlier coordinators
+}
+
+// NewLedger returns the ledger of a coordinator that took over at now, when an
+// earlier one may have just sent a grant of at most hold whose connection it
+// would have reset after timeout.
+func NewLedger(now, timeout, hold time.Duration) *Ledger {
+	return &Ledger{entries: make(map[grantKey]*entry), floor: End(now+timeout, hold)}
+}
+
+func (l *Ledger) entry(owner keyrange.Owner, fence uint64) *entry {
+	k := grantKey{owner.Target, owner.Run, fence}
+	e := l.entries[k]
+	if e == nil {
+		e = &entry{}
+		l.entries[k] = e
+	}
+	return e
+}
+
+// Sending notes that a grant is about to be sent.
+func (l *Ledger) Sending(owner keyrange.Owner, fence uint64) {
+	l.entry(owner, fence).sending++
+}
+
+// Answered notes that a grant was answered by now.
+func (l *Ledger) Answered(now time.Duration, owner keyrange.Owner, fence uint64, hold time.Duration) {
+	e := l.entry(owner, fence)
+	e.sending--
+	e.end = max(e.end, End(now, hold))
+}
+
+// GivenUp notes that the connection of a grant without answer was reset by now.
+func (l *Ledger) GivenUp(now time.Duration, owner keyrange.Owner, fence uint64, hold time.Duration) {
+	e := l.entry(owner, fence)
+	e.sending--
+	e.end = max(e.end, End(now, hold))
+	e.unclear = max(e.unclear, End(now, hold))
+}
+
+// EndOf returns when every grant of the owner under this fence has ended. ok is
+// false while one is under way.
+func (l *Ledger) EndOf(owner keyrange.Owner, fence uint64) (end time.Duration, ok bool) {
+	e := l.entries[grantKey{owner.Target, owner.Run, fence}]
+	if e == nil {
+		return l.floor, true
+	}
+	return max(e.end, l.floor), e.sending == 0
+}
+
+// EndOfUnclear returns the same for the grants that were not answered: they may
+// be applied after a release.
+func (l *Ledger) EndOfUnclear(owner keyrange.Owner, fence uint64) (end time.Duration, ok bool) {
+	e := l.entries[grantKey{owner.Target, owner.Run, fence}]
+	if e == nil {
+		return 0, true
+	}
+	return e.unclear, e.sending == 0
+}
+
+// Forget drops grants that ended before now.
+func (l *Ledger) Forget(now time.Duration) {
+	for k, e := range l.entries {
+		if e.sending == 0 && e.end < now {
+			delete(l.entries, k)
+		}
+	}
+}
--- /dev/null
+++ b/placement/hotrange/plan.go
@@ -0,0 +1,228 @@
+// Package hotrange decides which target is to own which range of keys. It is
+// pure: a map, targets and loads go in, moves come out.
+//
+// Patterns of load that it answers to:
+//   - busy keys that lie close together, and change: ranges are cut where the
+//     load is, and slices of just the size that evens out two targets move;
+//   - targets that join, leave, or start anew, and targets of different speeds:
+//     load is weighed against what a target gets through.
+package hotrange
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"github.com/mangopost/mangopost/ownership/keyrange"
+)
+
+// Target may own keys.
+type Target struct {
+	Owner    keyrange.Owner
+	Capacity float64 // requests a second that it gets through
+}
+
+// Reason says why a move is made.
+type Reason string
+
+const (
+	// Lost: the owner is leaving, gone or started anew.
+	Lost Reason = "owner-lost"
+	// Hot: the owner has more load than others.
+	Hot Reason = "balance"
+)
+
+// Move gives the keys From to To, both inclusive, to an owner.
+type Move struct {
+	From, To int
+	Owner    keyrange.Owner
+	Reason   Reason
+	Load     float64 // requests a second on the keys
+}
+
+// Limits bound a plan.
+type Limits struct {
+	Moves int     // for balance, in one plan
+	Start float64 // share of its capacity above which a target gives keys away
+	Gain  float64 // least difference of shares between giver and taker
+}
+
+// DefaultLimits begin to move before a target is full.
+var DefaultLimits = Limits{Moves: 4, Start: 0.45, Gain: 0.2}
+
+// State is what a plan starts from.
+type State struct {
+	Map     *keyrange.Map
+	Targets []Target
+	Loads   *Loads
+	// Fixed reports whether a range must stay for now, such as one that has just
+	// moved.
+	Fixed func(r keyrange.Range) bool
+}
+
+type planner struct {
+	m       *keyrange.Map
+	targets []Target
+	load    []float64 // by target
+	sums    sums
+	moves   []Move
+}
+
+// Plan returns the moves to make. Ranges of owners that are not among the
+// targets are dealt out whatever the limits.
+func Plan(s State, limits Limits) []Move {
+	if len(s.Targets) == 0 {
+		return nil
+	}
+	p := &planner{m: s.Map.Clone(), targets: s.Targets, load: make([]float64, len(s.Targets)), sums: s.Loads.sums()}
+	var lost []keyrange.Range
+	for _, r := range p.m.Ranges {
+		if i := p.index(r.Owner); i >= 0 {
+			p.load[i] += p.sums.of(r.From, r.To)
+		} else {
+			lost = append(lost, r)
+		}
+	}
+	p.dealOut(lost)
+	p.balance(s, limits)
+	return p.moves
+}
+
+func (p *planner) index(o keyrange.Owner) int {
+	return slices.IndexFunc(p.targets, func(t Target) bool { return t.Owner.Same(o) })
+}
+
+func (p *planner) share(i int, extra float64) float64 {
+	return (p.load[i] + extra) / max(p.targets[i].Capacity, 0.01)
+}
+
+// lightest returns the target that has the least share with the extra load.
+func (p *planner) lightest(extra float64) int {
+	best, bestShare := 0, math.Inf(1)
+	for i := range p.targets {
+		if s := p.share(i, extra); s < bestShare {
+			best, bestShare = i, s
+		}
+	}
+	return best
+}
+
+func (p *planner) move(from, to, target int, why Reason) {
+	load := p.sums.of(from, to)
+	p.load[target] += load
+	p.moves = append(p.moves, Move{From: from, To: to, Owner: p.targets[target].Owner, Reason: why, Load: load})
+}
+
+// pieces is the number of parts that the mean load of a target is cut into when
+// lost ranges are dealt out.
+const pieces = 3
+
+// dealOut gives lost ranges to the lightest targets, the heaviest pieces first.
+func (p *planner) dealOut(lost []keyrange.Range) {
+	size := p.sums.total() / float64(len(p.targets)) / pieces
+	var parts []keyrange.Range
+	for _, r := range lost {
+		parts = append(parts, p.cut(r, size)...)
+	}
+	slices.SortStableFunc(parts, func(a, b keyrange.Range) int {
+		return cmp.Compare(p.sums.of(b.From, b.To), p.sums.of(a.From, a.To))
+	})
+	for _, r := range parts {
+		p.move(r.From, r.To, p.lightest(p.sums.of(r.From, r.To)), Lost)
+	}
+}
+
+// cut splits a range into parts of about the given load.
+func (p *planner) cut(r keyrange.Range, size float64) []keyrange.Range {
+	n := int(p.sums.of(r.From, r.To)/size + 0.5)
+	if n <= 1 {
+		return []keyrange.Range{r}
+	}
+	each := p.sums.of(r.From, r.To) / float64(n)
+	var out []keyrange.Range
+	from := r.From
+	for from <= r.To {
+		to := from
+		for to < r.To && p.sums.of(from, to) < each {
+			to++
+		}
+		out = append(out, keyrange.Range{From: from, To: to})
+		from = to + 1
+	}
+	return out
+}
+
+// balance moves slices from the heaviest to the lightest target.
+func (p *planner) balance(s State, limits Limits) {
+	for range limits.Moves {
+		from, to := p.heaviest(), p.lightest(0)
+		high, low := p.share(from, 0), p.share(to, 0)
+		if high < limits.Start || high-low < limits.Gain {
+			return
+		}
+		a, b := p.targets[from].Capacity, p.targets[to].Capacity
+		want := (high - low) / (1/a + 1/b)
+		slice, ok := p.slice(from, want, s.Fixed)
+		if !ok {
+			return
+		}
+		p.load[from] -= p.sums.of(slice.From, slice.To)
+		p.move(slice.From, slice.To, to, Hot)
+		p.m.Assign(slice.From, slice.To, p.targets[to].Owner)
+	}
+}
+
+func (p *planner) heaviest() int {
+	best := 0
+	for i := range p.targets {
+		if p.share(i, 0) > p.share(best, 0) {
+			best = i
+		}
+	}
+	return best
+}
+
+const (
+	// overshoot is how much more than wanted a slice may carry.
+	overshoot = 1.15
+	// leastSlice is the part of what is wanted below which a slice is not worth
+	// its move.
+	leastSlice = 0.25
+	// keyCost makes a slice of all keys as bad as one that carries nothing.
+	keyCost = 1.0
+)
+
+// slice returns the part of one of the target's ranges that carries about the
+// wanted load, at one of the range's ends.
+func (p *planner) slice(target int, want float64, fixed func(keyrange.Range) bool) (keyrange.Range, bool) {
+	var best keyrange.Range
+	bestScore := 0.0
+	for _, r := range p.m.Ranges {
+		if !r.Owner.Same(p.targets[target].Owner) || len(r.Prev) > 0 || fixed != nil && fixed(r) {
+			continue
+		}
+		for _, c := range []keyrange.Range{p.head(r, want*overshoot), p.tail(r, want*overshoot)} {
+			if c.To < c.From {
+				continue
+			}
+			load := p.sums.of(c.From, c.To)
+			score := min(load/want, 1) - keyCost*float64(c.Keys())/keys
+			if load >= leastSlice*want && score > bestScore {
+				best, bestScore = c, score
+			}
+		}
+	}
+	return best, bestScore > 0
+}
+
+// head returns the longest beginning of a range that carries at most the load.
+func (p *planner) head(r keyrange.Range, load float64) keyrange.Range {
+	n, _ := slices.BinarySearchFunc(p.sums[r.From+1:r.To+2], p.sums[r.From]+load, cmp.Compare[float64])
+	return keyrange.Range{From: r.From, To: r.From + n - 1}
+}
+
+// tail returns the longest end of a range that carries at most the load.
+func (p *planner) tail(r keyrange.Range, load float64) keyrange.Range {
+	n, _ := slices.BinarySearchFunc(p.sums[r.From:r.To+1], p.sums[r.To+1]-load, cmp.Compare[float64])
+	return keyrange.Range{From: r.From + n, To: r.To}
+}
--- a/routing/classify.go
+++ b/routing/classify.go
@@ -48,6 +48,7 @@
 	Status       int     // of a whole answer
 	Refused      Refused // the answer's Mangopost-Refused header
 	IDMatches    bool    // the answer echoes the request's ID
+	SaysNotRun   bool    // the answer states that the target ran nothing
 	RefusesFirst bool    // template: its 429 and 503 come before it runs anything
 }
 
@@ -59,6 +60,8 @@
 		return OutcomeNotRun
 	case r.Failed || !r.IDMatches:
 		return OutcomeUnknown
+	case r.SaysNotRun:
+		return OutcomeNotRun
 	case r.Refused.status(r.Status):
 		return OutcomeNotRun
 	case r.RefusesFirst && refusal(r.Status):
--- /dev/null
+++ b/routing/table.go
@@ -0,0 +1,116 @@
+package routing
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Table is one version of the routes in force. It is immutable.
+type Table struct {
+	Version  uint64
+	Services map[string]Service
+	Limits   CallerLimits
+
+	byHost map[string][]Route // longest prefix first
+}
+
+// Route says what happens to the requests of one host and path prefix.
+type Route struct {
+	Name        string
+	Host        string
+	Prefix      string // begins and ends with a slash
+	Idempotent  bool
+	Timeout     time.Duration // longest time that a caller is kept waiting
+	LatencyGoal time.Duration // answers within it have their full value
+	Priority    int           // 0 is the most urgent
+	MaxAttempts int           // targets that one request may be sent to
+	Parts       []Part        // at least one
+}
+
+// Part is a service that takes a share of a route's requests.
+type Part struct {
+	Service string
+	Weight  int // relative to the route's other parts
+}
+
+// Service is a group of targets that serve the same requests.
+type Service struct {
+	Name           string
+	HealthPath     string
+	MaxConnections int           // at one target, from all hosts together
+	Keyed          bool          // each key has one owner
+	WarmUp         time.Duration // for which keys without a handover are slow
+}
+
+// CallerLimits bound what a caller may send.
+type CallerLimits struct {
+	HeaderBytes int
+	BodyBytes   int64
+}
+
+// NewTable returns a table of the routes.
+func NewTable(version uint64, routes []Route, services []Service, limits CallerLimits) *Table {
+	t := &Table{
+		Version:  version,
+		Services: make(map[string]Service, len(services)),
+		Limits:   limits,
+		byHost:   make(map[string][]Route),
+	}
+	for _, s := range services {
+		t.Services[s.Name] = s
+	}
+	for _, r := range routes {
+		t.byHost[r.Host] = append(t.byHost[r.Host], r)
+	}
+	for _, of := range t.byHost {
+		slices.SortStableFunc(of, func(a, b Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+	}
+	return t
+}
+
+// Match returns the route of the host whose prefix is the longest that begins
+// the path, or nil.
+func (t *Table) Match(host, path string) *Route {
+	routes := t.byHost[host]
+	for i := range routes {
+		if strings.HasPrefix(path, routes[i].Prefix) {
+			return &routes[i]
+		}
+	}
+	return nil
+}
+
+// Splitter deals a route's requests to its parts so that each prefix of the
+// sequence is as close to the weights as whole requests allow (smooth weighted
+// round robin). It is not safe for concurrent use.
+type Splitter struct {
+	credit map[string][]int // by route
+}
+
+// NewSplitter returns a splitter without history.
+func NewSplitter() *Splitter { return &Splitter{credit: make(map[string][]int)} }
+
+// Next returns the service of the route's next request. A part without weight
+// gets none.
+func (s *Splitter) Next(r *Route) string {
+	if len(r.Parts) == 1 {
+		return r.Parts[0].Service
+	}
+	credit := s.credit[r.Name]
+	if len(credit) != len(r.Parts) {
+		credit = make([]int, len(r.Parts))
+		s.credit[r.Name] = credit
+	}
+	best, total := 0, 0
+	for i, p := range r.Parts {
+		credit[i] += p.Weight
+		total += p.Weight
+		if credit[i] > credit[best] {
+			best = i
+		}
+	}
+	credit[best] -= total
+	return r.Parts[best].Service
+}
