entry: one host watches the store and relays; keys are dealt out once all targets are there

Ruled out: the time of a move, 0.1 to 0.6 s.

The first map now waits until the number of targets has not changed for 1.5 s; a hot slice goes to several targets, each brought to the mean; hosts take the coordinator's copy of the store with the answers to their reports, and watch for themselves when it is older than 1.3 s.

--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -11,6 +12,7 @@
 	"github.com/mangopost/mangopost/internal/platform"
 	"github.com/mangopost/mangopost/lease/coordinator"
 	"github.com/mangopost/mangopost/membership/directory"
+	"github.com/mangopost/mangopost/membership/mirror"
 	"github.com/mangopost/mangopost/ownership/keyrange"
 	wire "github.com/mangopost/mangopost/platform"
 )
@@ -27,6 +29,18 @@
 	// targetPause lets heartbeats of targets gather between two calls: a fifth of
 	// the bound within which a leaving target gets no new work.
 	targetPause = 450 * time.Millisecond
+	// relayWait is the same at the coordinator, whose hosts trust what it relays
+	// only while it is fresh.
+	relayWait = 500 * time.Millisecond
+	// relayKeep is how long after a relay a host does not ask the store: two
+	// reports.
+	relayKeep = 2*reportEvery + 100*time.Millisecond
+	// relayAge is the age from which on what the coordinator has from the store
+	// does not count: with a host's own call after it, it stays within the bound
+	// in which a configuration is in force.
+	relayAge = 1300 * time.Millisecond
+	// relayCheck is how often a host looks whether it is still relayed to.
+	relayCheck = 150 * time.Millisecond
 	// ownersPause lets changes of owners that follow each other closely gather.
 	ownersPause = 10 * time.Millisecond
 )
@@ -38,70 +52,156 @@
 	ownersPrefix      = ownPrefix + "owners-" // keyrange.Map, by service
 )
 
-// feed is one kind of objects that is followed.
+// feed is one kind of objects that is followed: in the store, or as the
+// coordinator relays it.
 type feed struct {
+	n      *Node
 	prefix string
 	pause  time.Duration // between two watches
-	// replace takes in all objects; apply those that changed.
+	// replace takes in all objects.
 	replace func(objects []platform.Object)
-	apply   func(objects []platform.Object)
+	// apply takes in those that changed and returns what matters to other hosts.
+	apply func(objects []platform.Object) []platform.Object
+	// heard is told that the store answered, before what it answered.
+	heard func()
+	// relist says that a watch that was interrupted begins with a listing.
+	relist bool
+
+	mu       sync.Mutex
+	mirror   *mirror.Mirror
+	listed   bool
+	answered time.Duration // when the store last answered, here or at the coordinator
+	relayed  time.Duration // when the coordinator last relayed
 }
 
-// follow returns a duty that lists the objects of a feed and then watches them.
-func (n *Node) follow(f feed) func(ctx context.Context) error {
-	return func(ctx context.Context) error {
-		lost, listed, revision := false, false, uint64(0)
-		for ctx.Err() == nil {
-			batch, err := n.next(ctx, f, listed, revision)
-			if err != nil {
-				if ctx.Err() != nil {
-					return nil
-				}
-				if errors.Is(err, platform.ErrCompacted) {
-					listed = false
-					continue
-				}
-				if !lost {
-					n.log.Emit(evStoreLost, "kind", f.prefix, "error", err.Error())
-				}
-				lost = true
-				sleep(ctx, followRetry)
-				continue
+// follow returns a duty that lists the objects of a feed and then watches them,
+// while the coordinator does not relay them.
+func (f *feed) follow(ctx context.Context) error {
+	lost, direct := false, true
+	for ctx.Err() == nil {
+		if f.fresh() {
+			direct = false
+			sleep(ctx, relayCheck)
+			continue
+		}
+		if !direct && f.relist {
+			f.unlist()
+		}
+		direct = true
+		err := f.once(ctx)
+		switch {
+		case ctx.Err() != nil:
+			return nil
+		case errors.Is(err, platform.ErrCompacted):
+			f.unlist()
+		case err != nil:
+			if !lost {
+				f.n.log.Emit(evStoreLost, "kind", f.prefix, "error", err.Error())
 			}
+			lost = true
+			sleep(ctx, followRetry)
+		default:
 			if lost {
-				n.log.Emit(evStoreBack, "kind", f.prefix, "revision", batch.Revision)
+				f.n.log.Emit(evStoreBack, "kind", f.prefix)
 				lost = false
 			}
-			n.heardStore()
-			if listed {
-				f.apply(batch.Objects)
-			} else {
-				f.replace(batch.Objects)
-			}
-			listed, revision = true, batch.Revision
 			sleep(ctx, f.pause)
 		}
-		return nil
 	}
+	return nil
+}
+
+// fresh reports whether the coordinator relays the feed, and has it from a store
+// that answers.
+func (f *feed) fresh() bool {
+	if f.n.office.holds() {
+		return false
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := steady()
+	return f.listed && f.relayed > 0 && now-f.relayed < relayKeep && now-f.answered < relayAge
 }
 
-func (n *Node) next(ctx context.Context, f feed, listed bool, revision uint64) (platform.Batch, error) {
+func (f *feed) unlist() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.listed = false
+}
+
+// once makes one call to the store and takes its answer in.
+func (f *feed) once(ctx context.Context) error {
+	f.mu.Lock()
+	listed, revision := f.listed, f.mirror.Revision()
+	f.mu.Unlock()
 	if !listed {
-		return n.store.List(ctx, f.prefix)
+		batch, err := f.n.store.List(ctx, f.prefix)
+		if err == nil {
+			f.take(batch, true, 0)
+		}
+		return err
 	}
-	ctx, cancel := context.WithTimeout(ctx, watchWait+callTime)
+	wait := watchWait
+	if f.n.office.holds() {
+		wait = relayWait
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+callTime)
 	defer cancel()
-	return n.store.Watch(ctx, f.prefix, revision)
+	batch, err := f.n.store.Watch(ctx, f.prefix, revision)
+	if err == nil {
+		f.take(batch, false, 0)
+	}
+	return err
 }
 
-func (n *Node) heardStore() { n.heard.Store(int64(steady())) }
+// take brings objects in force that the store gave age ago, unless newer ones are.
+func (f *feed) take(batch platform.Batch, full bool, age time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if batch.Revision < f.mirror.Revision() || !full && !f.listed {
+		return
+	}
+	f.answered = max(f.answered, steady()-age)
+	f.n.heardStore(f.answered)
+	if f.heard != nil && age < relayAge {
+		f.heard()
+	}
+	if full {
+		f.replace(batch.Objects)
+		f.mirror.Replace(batch.Revision, toMirror(batch.Objects))
+	} else {
+		f.mirror.Apply(batch.Revision, toMirror(f.apply(batch.Objects)))
+	}
+	f.listed = true
+}
+
+func toMirror(objects []platform.Object) []mirror.Object {
+	out := make([]mirror.Object, len(objects))
+	for i, o := range objects {
+		out[i] = mirror.Object(o)
+	}
+	return out
+}
+
+// heardStore notes when the store last answered.
+func (n *Node) heardStore(at time.Duration) {
+	n.heard.Store(max(n.heard.Load(), int64(at)))
+}
 
 func (n *Node) badObject(obj platform.Object, err error) {
 	n.log.Emit(evBadObject, "object", obj.Name, "version", obj.Version, "error", err.Error())
 }
 
-func configurationFeed(n *Node) feed {
-	apply := func(objects []platform.Object) {
+func newFeeds(n *Node) []*feed {
+	feeds := []*feed{configurationFeed(n), targetFeed(n), ownersFeed(n)}
+	for _, f := range feeds {
+		f.n, f.mirror = n, mirror.New()
+	}
+	return feeds
+}
+
+func configurationFeed(n *Node) *feed {
+	apply := func(objects []platform.Object) []platform.Object {
 		for _, obj := range objects {
 			if obj.Name != wire.ConfigurationObject || obj.Deleted {
 				continue
@@ -113,11 +213,12 @@
 			}
 			n.configure(table)
 		}
+		return objects
 	}
-	return feed{prefix: wire.ConfigurationPrefix, replace: apply, apply: apply}
+	return &feed{prefix: wire.ConfigurationPrefix, apply: apply, replace: func(objects []platform.Object) { apply(objects) }}
 }
 
-func targetFeed(n *Node) feed {
+func targetFeed(n *Node) *feed {
 	decode := func(obj platform.Object) (directory.Entry, bool) {
 		t, err := wire.DecodeTarget(strings.TrimPrefix(obj.Name, wire.TargetPrefix), obj.Value)
 		if err != nil {
@@ -125,9 +226,16 @@
 		}
 		return directory.Entry(t), err == nil
 	}
-	return feed{
+	return &feed{
 		prefix: wire.TargetPrefix,
 		pause:  targetPause,
+		// Only a listing tells which targets write while nothing else changes.
+		relist: true,
+		heard: func() {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			n.directory.Heard(steady())
+		},
 		replace: func(objects []platform.Object) {
 			var entries []directory.Entry
 			for _, obj := range objects {
@@ -137,22 +245,23 @@
 			}
 			n.mu.Lock()
 			defer n.mu.Unlock()
-			n.directory.Heard(steady())
 			n.directory.Replace(steady(), entries)
 			n.log.Emit(evTargets, "listed", len(entries))
 			n.targetsChanged()
 		},
-		apply: func(objects []platform.Object) {
+		apply: func(objects []platform.Object) []platform.Object {
 			n.mu.Lock()
 			defer n.mu.Unlock()
-			n.directory.Heard(steady())
-			changed := false
+			var changed []platform.Object
 			for _, obj := range objects {
-				changed = n.targetChange(obj, decode) || changed
+				if n.targetChange(obj, decode) {
+					changed = append(changed, obj)
+				}
 			}
-			if changed {
+			if len(changed) > 0 {
 				n.targetsChanged()
 			}
+			return changed
 		},
 	}
 }
@@ -166,7 +275,7 @@
 		n.directory.Remove(steady(), name)
 		_, has := n.directory.Get(name)
 		n.log.Emit(evTargets, "target", name, "service", before.Service, "gone", true, "kept", has, "version", obj.Version)
-		return had && !has
+		return had
 	}
 	e, ok := decode(obj)
 	if !ok {
@@ -182,8 +291,8 @@
 	return true
 }
 
-func ownersFeed(n *Node) feed {
-	apply := func(objects []platform.Object) {
+func ownersFeed(n *Node) *feed {
+	apply := func(objects []platform.Object) []platform.Object {
 		for _, obj := range objects {
 			if obj.Deleted {
 				continue
@@ -192,8 +301,9 @@
 				n.badObject(obj, err)
 			}
 		}
+		return objects
 	}
-	return feed{
+	return &feed{
 		prefix: ownPrefix,
 		pause:  ownersPause,
 		replace: func(objects []platform.Object) {
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -63,6 +63,7 @@
 	owners    map[string]owners
 
 	office *office
+	feeds  []*feed
 }
 
 // New returns a process that is not running yet.
@@ -83,6 +84,7 @@
 	n.settings.Store(s)
 	n.hosts.Store(assumedHosts)
 	n.office = newOffice(n)
+	n.feeds = newFeeds(n)
 	n.counters = newCounters(n)
 	return n
 }
@@ -113,9 +115,9 @@
 		{Name: "peers", Run: n.servePeers},
 		{Name: "metrics", Run: n.serveMetrics},
 		{Name: "settings", Run: n.watchSettings},
-		{Name: "configuration", Run: n.follow(configurationFeed(n))},
-		{Name: "targets", Run: n.follow(targetFeed(n))},
-		{Name: "owners", Run: n.follow(ownersFeed(n))},
+		{Name: "configuration", Run: n.feeds[0].follow},
+		{Name: "targets", Run: n.feeds[1].follow},
+		{Name: "owners", Run: n.feeds[2].follow},
 		{Name: "coordinator", Run: n.office.run},
 		{Name: "reports", Run: n.report},
 		{Name: "housekeeping", Run: n.keepHouse},
--- a/internal/entry/reports.go
+++ b/internal/entry/reports.go
@@ -13,6 +13,8 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/mangopost/mangopost/admission/pool"
+	"github.com/mangopost/mangopost/internal/platform"
+	"github.com/mangopost/mangopost/membership/mirror"
 	"github.com/mangopost/mangopost/placement/hotrange"
 )
 
@@ -41,14 +43,23 @@
 }
 
 type report struct {
-	Host     string                   `json:"host"`
-	Services map[string]serviceReport `json:"services"`
+	Host      string                   `json:"host"`
+	Services  map[string]serviceReport `json:"services"`
+	Revisions map[string]uint64        `json:"revisions"` // of the feeds, by prefix
 }
 
-// reply tells a host what all others run at each target.
+// reply tells a host what all others run at each target, and what it does not
+// know of the store's objects.
 type reply struct {
 	Hosts  int                           `json:"hosts"`
-	Others map[string]map[string]float64 `json:"others"` // by service and target
+	Others map[string]map[string]float64 `json:"others"`          // by service and target
+	Feeds  map[string]relay              `json:"feeds,omitempty"` // by prefix
+}
+
+// relay is what changed in a feed.
+type relay struct {
+	AgeMS   int64          `json:"age_ms"` // since the store answered the coordinator
+	Changes mirror.Changes `json:"changes"`
 }
 
 // loadTable is what the coordinator was told.
@@ -205,12 +216,18 @@
 		}
 		failing = false
 		n.setOthers(answer)
+		n.takeRelays(answer.Feeds)
 	}
 	return nil
 }
 
 func (n *Node) makeReport() report {
-	r := report{Host: n.settings.Load().Host, Services: make(map[string]serviceReport)}
+	r := report{
+		Host: n.settings.Load().Host, Services: make(map[string]serviceReport), Revisions: make(map[string]uint64),
+	}
+	for _, f := range n.feeds {
+		r.Revisions[f.prefix] = f.revision()
+	}
 	for name, s := range n.allServices() {
 		var out serviceReport
 		if s.keyed {
@@ -269,6 +286,47 @@
 	}
 }
 
+// revision returns the store's revision that a host knows of a feed; 0: none.
+func (f *feed) revision() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.listed {
+		return 0
+	}
+	return f.mirror.Revision()
+}
+
+// relays returns what a host with these revisions does not know.
+func (n *Node) relays(revisions map[string]uint64) map[string]relay {
+	out := make(map[string]relay)
+	for _, f := range n.feeds {
+		f.mu.Lock()
+		if f.listed {
+			out[f.prefix] = relay{AgeMS: ms(steady() - f.answered), Changes: f.mirror.Since(revisions[f.prefix])}
+		}
+		f.mu.Unlock()
+	}
+	return out
+}
+
+// takeRelays brings in force what the coordinator relayed.
+func (n *Node) takeRelays(relays map[string]relay) {
+	for _, f := range n.feeds {
+		r, ok := relays[f.prefix]
+		if !ok {
+			continue
+		}
+		batch := platform.Batch{Revision: r.Changes.Revision}
+		for _, o := range r.Changes.Objects {
+			batch.Objects = append(batch.Objects, platform.Object(o))
+		}
+		f.take(batch, r.Changes.Full, time.Duration(r.AgeMS)*time.Millisecond)
+		f.mu.Lock()
+		f.relayed = steady()
+		f.mu.Unlock()
+	}
+}
+
 // servePeers takes the reports of other hosts.
 func (n *Node) servePeers(ctx context.Context) error {
 	mux := http.NewServeMux()
@@ -282,7 +340,9 @@
 			w.WriteHeader(http.StatusBadRequest)
 			return
 		}
-		body, err := json.Marshal(n.office.loads.take(in))
+		out := n.office.loads.take(in)
+		out.Feeds = n.relays(in.Revisions)
+		body, err := json.Marshal(out)
 		if err != nil {
 			w.WriteHeader(http.StatusInternalServerError)
 			return
--- a/internal/entry/term.go
+++ b/internal/entry/term.go
@@ -35,6 +35,9 @@
 	// maxMoving is the number of ranges of a service that may move at once for
 	// balance.
 	maxMoving = 8
+	// gatherFor is how long the targets of a new service must be the same before
+	// its keys are dealt out: about two heartbeats.
+	gatherFor = 1500 * time.Millisecond
 	// refusals is how often in a row a target refuses connections before it may
 	// count as down.
 	refusals = 3
@@ -54,6 +57,14 @@
 	down   map[keyrange.Owner]int
 	known  map[rangeKey]*rangeState
 	saving sync.Mutex // one write of a map at a time
+
+	gathering map[string]gathering // by service; used by run alone
+}
+
+// gathering is how many targets of a new service there are, and since when.
+type gathering struct {
+	count int
+	since time.Duration
 }
 
 // ownedMap is a map as the store acknowledged it.
@@ -87,6 +98,8 @@
 		maps:   make(map[string]*ownedMap),
 		down:   make(map[keyrange.Owner]int),
 		known:  make(map[rangeKey]*rangeState),
+
+		gathering: make(map[string]gathering),
 	}
 }
 
@@ -156,6 +169,9 @@
 		return nil
 	}
 	if owned.keys == nil {
+		if !t.gathered(service, len(targets)) {
+			return nil
+		}
 		return t.save(service, firstMap(service, targets))
 	}
 	moves := hotrange.Plan(hotrange.State{
@@ -213,6 +229,18 @@
 	}
 }
 
+// gathered reports whether the number of a new service's targets has not changed
+// for a while, so that its keys are dealt to all of them.
+func (t *term) gathered(service string, count int) bool {
+	g := t.gathering[service]
+	now := leaseClock()
+	if g.count != count {
+		t.gathering[service] = gathering{count: count, since: now}
+		return false
+	}
+	return now >= g.since+gatherFor
+}
+
 func firstMap(service string, targets []hotrange.Target) *keyrange.Map {
 	list := make([]keyrange.Owner, len(targets))
 	weights := make([]float64, len(targets))
--- a/placement/hotrange/plan.go
+++ b/placement/hotrange/plan.go
@@ -45,10 +45,11 @@
 	Moves int     // for balance, in one plan
 	Start float64 // share of its capacity above which a target gives keys away
 	Gain  float64 // least difference of shares between giver and taker
+	Idle  float64 // part of the mean share below which a target gets keys whatever the load
 }
 
 // DefaultLimits begin to move before a target is full.
-var DefaultLimits = Limits{Moves: 4, Start: 0.45, Gain: 0.2}
+var DefaultLimits = Limits{Moves: 8, Start: 0.45, Gain: 0.2, Idle: 0.2}
 
 // State is what a plan starts from.
 type State struct {
@@ -152,16 +153,19 @@
 	return out
 }
 
-// balance moves slices from the heaviest to the lightest target.
+// balance moves slices from the heaviest to the lightest target. A slice is only
+// as large as brings one of the two to the mean: what is too hot for one target
+// is dealt to several.
 func (p *planner) balance(s State, limits Limits) {
+	mean := p.mean()
 	for range limits.Moves {
 		from, to := p.heaviest(), p.lightest(0)
 		high, low := p.share(from, 0), p.share(to, 0)
-		if high < limits.Start || high-low < limits.Gain {
+		busy := high >= limits.Start && high-low >= limits.Gain
+		if !busy && low >= limits.Idle*mean || high <= mean {
 			return
 		}
-		a, b := p.targets[from].Capacity, p.targets[to].Capacity
-		want := (high - low) / (1/a + 1/b)
+		want := min((high-mean)*p.targets[from].Capacity, (mean-low)*p.targets[to].Capacity)
 		slice, ok := p.slice(from, want, s.Fixed)
 		if !ok {
 			return
@@ -172,6 +176,15 @@
 	}
 }
 
+// mean returns the share that all targets would have if they had the same.
+func (p *planner) mean() float64 {
+	capacity := 0.0
+	for _, t := range p.targets {
+		capacity += t.Capacity
+	}
+	return p.sums.total() / max(capacity, 0.01)
+}
+
 func (p *planner) heaviest() int {
 	best := 0
 	for i := range p.targets {
