--- a/internal/entry/reports.go
+++ b/internal/entry/reports.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"compress/zlib"
 	"context"
 	"encoding/json"
 	"io"
@@ -31,7 +32,7 @@
 	// guessedService is the time of a request at a target of which no host has
 	// learned it yet.
 	guessedService = 0.15 // seconds
-	maxReport      = 1 << 20
+	maxReport      = 8 << 20
 	reportPath     = "POST /report"
 )
 
@@ -230,11 +231,14 @@
 	}
 	for name, s := range n.allServices() {
 		var out serviceReport
+		s.change(func(p *pool.Pool) { out.Running = p.Running() })
 		if s.keyed {
 			out.Keys = s.takeArrivals()
+			out.Seconds = s.takeSpeeds()
+		}
+		if len(out.Running)+len(out.Keys) > 0 {
+			r.Services[name] = out
 		}
-		s.change(func(p *pool.Pool) { out.Running, out.Seconds = p.Running(), p.Speeds() })
-		r.Services[name] = out
 	}
 	return r
 }
@@ -254,7 +258,7 @@
 		return n.office.loads.take(r), nil
 	}
 	var out reply
-	body, err := json.Marshal(r)
+	body, err := pack(r)
 	if err != nil {
 		return out, errors.Wrap(err, "report")
 	}
@@ -262,6 +266,7 @@
 	if err != nil {
 		return out, errors.Wrap(err, "report")
 	}
+	req.Header.Set("User-Agent", "") // spares its bytes
 	resp, err := client.Do(req)
 	if err != nil {
 		return out, errors.Wrap(err, "report")
@@ -270,8 +275,30 @@
 	if resp.StatusCode != http.StatusOK {
 		return out, errors.Newf("report: status %d", resp.StatusCode)
 	}
-	err = json.NewDecoder(io.LimitReader(resp.Body, maxReport)).Decode(&out)
-	return out, errors.Wrap(err, "report's answer")
+	return out, errors.Wrap(unpack(resp.Body, &out), "report's answer")
+}
+
+// pack encodes a message between hosts. It is compressed, as bytes between
+// regions are dear and names repeat.
+func pack(message any) ([]byte, error) {
+	var buf bytes.Buffer
+	w := compressors.Get().(*zlib.Writer)
+	defer compressors.Put(w)
+	w.Reset(&buf)
+	err := json.NewEncoder(w).Encode(message)
+	err = errors.CombineErrors(err, w.Close())
+	return buf.Bytes(), errors.Wrap(err, "pack")
+}
+
+// compressors are kept, as a new one takes most of a megabyte.
+var compressors = sync.Pool{New: func() any { return zlib.NewWriter(nil) }}
+
+func unpack(from io.Reader, message any) error {
+	r, err := zlib.NewReader(from)
+	if err != nil {
+		return errors.Wrap(err, "unpack")
+	}
+	return errors.Wrap(json.NewDecoder(io.LimitReader(r, maxReport)).Decode(message), "unpack")
 }
 
 // setOthers takes in what all other hosts run. Without hosts, nothing is known.
@@ -336,17 +363,19 @@
 			return
 		}
 		var in report
-		if err := json.NewDecoder(io.LimitReader(r.Body, maxReport)).Decode(&in); err != nil {
+		if err := unpack(r.Body, &in); err != nil {
 			w.WriteHeader(http.StatusBadRequest)
 			return
 		}
 		out := n.office.loads.take(in)
 		out.Feeds = n.relays(in.Revisions)
-		body, err := json.Marshal(out)
+		body, err := pack(out)
 		if err != nil {
 			w.WriteHeader(http.StatusInternalServerError)
 			return
 		}
+		w.Header()["Date"] = nil
+		w.Header().Set("Content-Type", "application/zlib")
 		_, _ = w.Write(body) // the host that reports again if this fails
 	})
 	return n.serve(ctx, n.settings.Load().Peers.String(), mux)
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -23,6 +23,7 @@
 	pool     *pool.Pool
 	waiters  map[uint64]chan pool.Action
 	arrivals map[int]int // requests by key since the last report
+	reported int         // reports since the times of requests were in one
 	budget   *routing.Budget
 	timer    *time.Timer // runs while requests wait
 }
@@ -131,3 +132,17 @@
 	s.arrivals = make(map[int]int)
 	return out
 }
+
+// speedsEvery is the number of reports of which one has the times of requests:
+// they change slowly.
+const speedsEvery = 5
+
+// takeSpeeds returns the times of requests by target, when they are due.
+func (s *service) takeSpeeds() map[string]float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.reported++; s.reported%speedsEvery != 0 {
+		return nil
+	}
+	return s.pool.Speeds()
+}
--- /dev/null
+++ b/ownership/keyrange/encoding.go
@@ -0,0 +1,89 @@
+package keyrange
+
+import (
+	"encoding/json"
+
+	"github.com/cockroachdb/errors"
+)
+
+// encodedMap is a map as it is stored: each owner once, and ranges that name
+// owners by their index. Every host reads each version of a map, also over the
+// slow link between regions.
+type encodedMap struct {
+	Service string         `json:"service"`
+	Fence   uint64         `json:"fence"`
+	Owners  []Owner        `json:"owners"`
+	Ranges  []encodedRange `json:"ranges"`
+}
+
+// encodedRange is the last key of a range, the index of its owner and its fence,
+// followed by index and fence of each earlier owner.
+type encodedRange []uint64
+
+const (
+	rangeTo = iota
+	rangeOwner
+	rangeFence
+	rangePrev
+)
+
+// MarshalJSON implements json.Marshaler.
+func (m Map) MarshalJSON() ([]byte, error) {
+	e := encodedMap{Service: m.Service, Fence: m.Fence}
+	index := make(map[Owner]uint64)
+	of := func(o Owner) uint64 {
+		i, ok := index[o]
+		if !ok {
+			i = uint64(len(e.Owners))
+			index[o] = i
+			e.Owners = append(e.Owners, o)
+		}
+		return i
+	}
+	for _, r := range m.Ranges {
+		out := encodedRange{uint64(r.To), of(r.Owner), r.Fence}
+		for _, prev := range r.Prev {
+			out = append(out, of(prev.Owner), prev.Fence)
+		}
+		e.Ranges = append(e.Ranges, out)
+	}
+	return json.Marshal(e)
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (m *Map) UnmarshalJSON(data []byte) error {
+	var e encodedMap
+	if err := json.Unmarshal(data, &e); err != nil {
+		return errors.Wrap(err, "map of owners")
+	}
+	out := Map{Service: e.Service, Fence: e.Fence}
+	from := 0
+	for i, in := range e.Ranges {
+		r, err := in.decode(from, e.Owners)
+		if err != nil {
+			return errors.Wrapf(err, "ranges[%d]", i)
+		}
+		out.Ranges = append(out.Ranges, r)
+		from = r.To + 1
+	}
+	*m = out
+	return nil
+}
+
+func (in encodedRange) decode(from int, list []Owner) (Range, error) {
+	if len(in) < rangePrev || (len(in)-rangePrev)%2 != 0 || in[rangeTo] > MaxKey {
+		return Range{}, errors.Newf("%v is no range", []uint64(in))
+	}
+	r := Range{From: from, To: int(in[rangeTo]), Fence: in[rangeFence]}
+	for i := rangeOwner; i < len(in); i += 2 {
+		if in[i] >= uint64(len(list)) {
+			return Range{}, errors.Newf("owner %d of %d", in[i], len(list))
+		}
+		if i == rangeOwner {
+			r.Owner = list[in[i]]
+			continue
+		}
+		r.Prev = append(r.Prev, Previous{Owner: list[in[i]], Fence: in[i+1]})
+	}
+	return r, nil
+}
--- a/ownership/keyrange/map.go
+++ b/ownership/keyrange/map.go
@@ -25,19 +25,19 @@
 
 // Range gives the keys From to To, both inclusive, to an owner.
 type Range struct {
-	From  int    `json:"from"`
-	To    int    `json:"to"`
-	Owner Owner  `json:"owner"`
-	Fence uint64 `json:"fence"`
+	From  int
+	To    int
+	Owner Owner
+	Fence uint64
 	// Prev are the owners before, while they may still hold the keys: Owner is
 	// granted nothing before all of them have ended.
-	Prev []Previous `json:"prev,omitempty"`
+	Prev []Previous
 }
 
 // Previous is an owner whose grant has to end before the next one begins.
 type Previous struct {
 	Owner
-	Fence uint64 `json:"fence"`
+	Fence uint64
 }
 
 // Keys returns the number of keys in the range.
@@ -46,9 +46,9 @@
 // Map is the store object of one service: ranges in ascending order that
 // together hold every key once, and the highest fence ever given.
 type Map struct {
-	Service string  `json:"service"`
-	Ranges  []Range `json:"ranges"`
-	Fence   uint64  `json:"fence"`
+	Service string
+	Ranges  []Range
+	Fence   uint64
 }
 
 // At returns the index of the range that holds the key, or -1.
