entry: reports over yamux with protobuf, shares of full targets, coordinator on a host with room

The messages between hosts use internal/wire. What all hosts run and want is summed up in placement/demand; a target that more is asked of than it runs is dealt to the hosts by demand.

--- a/admission/pool/pool.go
+++ b/admission/pool/pool.go
@@ -169,11 +169,14 @@
 // SetOwners replaces the map of a keyed service.
 func (p *Pool) SetOwners(m *keyrange.Map) { p.owners = m }
 
-// SetOthers takes in how many requests all other hosts run at each target, as
-// they last reported.
-func (p *Pool) SetOthers(running map[string]float64) {
+// SetOthers takes in how many requests all other hosts run at each busy target,
+// as they last reported, and this host's share of the requests that a target
+// runs at once where more are asked for than it can run. A share may be less
+// than one: then one request runs for that part of the time.
+func (p *Pool) SetOthers(running, shares map[string]float64) {
 	for name, t := range p.targets {
 		t.others = running[name]
+		t.share = shares[name]
 	}
 }
 
@@ -188,6 +191,21 @@
 	return out
 }
 
+// Wanted returns the requests that this host runs or would run at each target: of
+// a keyed service, those that wait for the owner of their key too.
+func (p *Pool) Wanted() map[string]int {
+	out := p.Running()
+	if !p.cfg.Keyed {
+		return out
+	}
+	for _, r := range p.waiting {
+		if t, _ := p.owner(r.Key); t != nil {
+			out[t.Owner.Target]++
+		}
+	}
+	return out
+}
+
 // Speeds returns the learned time of a request at each target that is not full,
 // in seconds.
 func (p *Pool) Speeds() map[string]float64 {
@@ -238,6 +256,7 @@
 
 func (p *Pool) start(now time.Duration, t *target, fence uint64, r Request) Action {
 	t.running++
+	t.started(now)
 	return Action{ID: r.ID, Start: true, Target: t.Owner, Fence: fence, Waited: now - r.Arrived}
 }
 
--- a/admission/pool/target.go
+++ b/admission/pool/target.go
@@ -42,9 +42,11 @@
 // target is the state of one target at this host.
 type target struct {
 	Target
-	running   int     // requests of this host
-	others    float64 // requests of all other hosts, as last reported
-	window    float64 // requests of this host that it may run
+	running   int           // requests of this host
+	others    float64       // requests of all other hosts, as last reported
+	share     float64       // of the requests that it runs at once; 0: no limit
+	notBefore time.Duration // gets the next request of a share below one
+	window    float64       // requests of this host that it may run
 	service   estimate
 	unloaded  estimate      // of requests that found a free slot
 	failures  float64       // smoothed share of requests that failed
@@ -75,6 +77,9 @@
 	if now < t.coolUntil || t.Limit > 0 && t.running >= t.Limit {
 		return false
 	}
+	if t.share > 0 {
+		return t.running < max(1, int(t.share)) && now >= t.notBefore
+	}
 	if t.running == 0 {
 		return true
 	}
@@ -82,10 +87,21 @@
 	return n <= t.window && n+t.others <= t.capacity(backlog)
 }
 
+// started notes a start. With a share below one, the next one waits until this one
+// has taken its part of the time.
+func (t *target) started(now time.Duration) {
+	if t.share > 0 && t.share < 1 {
+		t.notBefore = now + time.Duration(float64(t.unloaded.value)/t.share)
+	}
+}
+
 // rate is the number of requests a second that this host may get through.
 func (t *target) rate(backlog float64) float64 {
 	share := max(1, min(t.window, t.capacity(backlog)-t.others))
 	share = min(share, float64(max(1, t.Slots)))
+	if t.share > 0 {
+		share = t.share
+	}
 	return share / max(t.service.value.Seconds(), 0.001)
 }
 
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -39,6 +39,9 @@
 	// does not count: with a host's own call after it, it stays within the bound
 	// in which a configuration is in force.
 	relayAge = 1300 * time.Millisecond
+	// firstRelay is how long after its start a host waits for the coordinator
+	// before it asks the store for everything: an election and a report.
+	firstRelay = 1200 * time.Millisecond
 	// relayCheck is how often a host looks whether it is still relayed to.
 	relayCheck = 150 * time.Millisecond
 	// ownersPause lets changes of owners that follow each other closely gather.
@@ -66,9 +69,12 @@
 	heard func()
 	// relist says that a watch that was interrupted begins with a listing.
 	relist bool
+	// patient says that a host which starts waits for the coordinator first.
+	patient bool
 
 	mu       sync.Mutex
 	mirror   *mirror.Mirror
+	packed   packedValues
 	listed   bool
 	answered time.Duration // when the store last answered, here or at the coordinator
 	relayed  time.Duration // when the coordinator last relayed
@@ -78,6 +84,9 @@
 // while the coordinator does not relay them.
 func (f *feed) follow(ctx context.Context) error {
 	lost, direct := false, true
+	if f.patient {
+		f.awaitRelay(ctx)
+	}
 	for ctx.Err() == nil {
 		if f.fresh() {
 			direct = false
@@ -111,6 +120,12 @@
 	return nil
 }
 
+// awaitRelay gives the coordinator time to send what this host does not know.
+func (f *feed) awaitRelay(ctx context.Context) {
+	for steady() < firstRelay && !f.fresh() && !f.n.office.holds() && sleep(ctx, relayCheck/3) {
+	}
+}
+
 // fresh reports whether the coordinator relays the feed, and has it from a store
 // that answers.
 func (f *feed) fresh() bool {
@@ -195,7 +210,7 @@
 func newFeeds(n *Node) []*feed {
 	feeds := []*feed{configurationFeed(n), targetFeed(n), ownersFeed(n)}
 	for _, f := range feeds {
-		f.n, f.mirror = n, mirror.New()
+		f.n, f.mirror, f.packed = n, mirror.New(), make(packedValues)
 	}
 	return feeds
 }
@@ -215,7 +230,7 @@
 		}
 		return objects
 	}
-	return &feed{prefix: wire.ConfigurationPrefix, apply: apply, replace: func(objects []platform.Object) { apply(objects) }}
+	return &feed{prefix: wire.ConfigurationPrefix, patient: true, apply: apply, replace: func(objects []platform.Object) { apply(objects) }}
 }
 
 func targetFeed(n *Node) *feed {
@@ -230,7 +245,8 @@
 		prefix: wire.TargetPrefix,
 		pause:  targetPause,
 		// Only a listing tells which targets write while nothing else changes.
-		relist: true,
+		relist:  true,
+		patient: true,
 		heard: func() {
 			n.mu.Lock()
 			defer n.mu.Unlock()
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -288,3 +288,14 @@
 		s.change(func(p *pool.Pool) { p.SetOwners(o.keys) })
 	}
 }
+
+// slots returns the slots of a service's targets.
+func (n *Node) slots(service string) map[string]int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	out := make(map[string]int)
+	for _, e := range n.directory.Of(service) {
+		out[e.Name] = e.Slots
+	}
+	return out
+}
--- a/internal/entry/office.go
+++ b/internal/entry/office.go
@@ -6,10 +6,14 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
-	"github.com/mangopost/mangopost/internal/platform"
+	objects "github.com/mangopost/mangopost/internal/platform"
 	"github.com/mangopost/mangopost/lease/coordinator"
+	"github.com/mangopost/mangopost/placement/demand"
+	"github.com/mangopost/mangopost/placement/hotrange"
+	"github.com/mangopost/mangopost/platform"
 )
 
 const (
@@ -25,19 +29,67 @@
 // office is the part of a host that may become the coordinator. It acts only
 // while it holds the lease in the store.
 type office struct {
-	n     *Node
-	loads *loadTable
+	n    *Node
+	run0 int64 // start of this process, Unix nanoseconds
 
 	mu       sync.Mutex
 	election *coordinator.Election
 	read     bool  // the objects of this system were listed
 	term     *term // nil while this host is not the coordinator
+
+	demandMu sync.Mutex
+	demand   *demand.Table
 }
 
 func newOffice(n *Node) *office {
 	s := n.settings.Load()
 	self := coordinator.Record{Holder: s.Host, Run: time.Now().UnixNano(), Addr: s.Peers.String()}
-	return &office{n: n, loads: newLoadTable(), election: coordinator.New(self, coordinator.DefaultTiming)}
+	timing := coordinator.DefaultTiming
+	timing.Margin += stagger(s)
+	return &office{
+		n: n, run0: self.Run, election: coordinator.New(self, timing), demand: demand.NewTable(reportKeep),
+	}
+}
+
+const (
+	// slowStagger is how much later than the fastest a host without processor time
+	// to spare tries to become the coordinator: the role is for hosts with room.
+	slowStagger = 400 * time.Millisecond
+	// hashStagger spreads hosts that are alike, of which only one can succeed.
+	hashStagger = 200 * time.Millisecond
+	// fastCores is the share of a core from which on a host counts as fast.
+	fastCores = 0.8
+)
+
+// stagger returns how long after the first a host tries to become coordinator.
+func stagger(s *platform.Settings) time.Duration {
+	slow := 1 - min(1, s.Cores/fastCores)
+	return time.Duration(slow*float64(slowStagger)) + time.Duration(xxhash.Sum64String(s.Host)%uint64(hashStagger))
+}
+
+// take takes a host's report in and returns what to tell it.
+func (o *office) take(r demand.Report) (map[string]demand.Shares, int) {
+	slots := make(map[string]map[string]int)
+	for name := range r.Services {
+		slots[name] = o.n.slots(name)
+	}
+	o.demandMu.Lock()
+	defer o.demandMu.Unlock()
+	return o.demand.Take(steady(), r, func(service string) map[string]int { return slots[service] })
+}
+
+// loads returns the loads of a service's keys.
+func (o *office) loads(service string) *hotrange.Loads {
+	o.demandMu.Lock()
+	defer o.demandMu.Unlock()
+	return o.demand.Loads(steady(), service)
+}
+
+// capacity returns the requests a second that a target gets through.
+func (o *office) capacity(service, target string, slots int) float64 {
+	o.demandMu.Lock()
+	defer o.demandMu.Unlock()
+	return o.demand.Capacity(service, target, slots)
 }
 
 // observe takes in the record of the lease as it was read.
@@ -79,6 +131,7 @@
 
 // run takes, renews and uses the lease until ctx ends.
 func (o *office) run(ctx context.Context) error {
+	sleep(ctx, stagger(o.n.settings.Load()))
 	for sleep(ctx, electionEvery) {
 		o.mu.Lock()
 		now := leaseClock()
@@ -105,7 +158,7 @@
 		return
 	}
 	o.election.Failed(leaseClock())
-	if !errors.Is(err, platform.ErrConflict) {
+	if !errors.Is(err, objects.ErrConflict) {
 		o.n.log.Emit(evStoreLost, "call", "renewal of the coordinator's lease", "error", err.Error())
 	}
 }
--- /dev/null
+++ b/internal/entry/reportframe.go
@@ -0,0 +1,249 @@
+package entry
+
+import (
+	"bytes"
+	"compress/zlib"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/mangopost/mangopost/internal/platform"
+	"github.com/mangopost/mangopost/internal/wire/pb"
+	"github.com/mangopost/mangopost/membership/mirror"
+	"github.com/mangopost/mangopost/placement/demand"
+)
+
+// frameOf encodes a report, with what this host knows of the feeds.
+func (n *Node) frameOf(r demand.Report) *pb.Frame {
+	out := &pb.Report{Host: r.Host}
+	for name, use := range r.Services {
+		if s := useFrame(name, use); len(s.Targets)+len(s.Keys) > 0 {
+			out.Services = append(out.Services, s)
+		}
+	}
+	for _, f := range n.feeds {
+		out.Feeds = append(out.Feeds, &pb.FeedRevision{Prefix: f.prefix, Revision: f.revision()})
+	}
+	return &pb.Frame{Body: &pb.Frame_Report{Report: out}}
+}
+
+func useFrame(name string, use demand.Use) *pb.ServiceUse {
+	out := &pb.ServiceUse{Service: name}
+	for key, count := range use.Keys {
+		out.Keys = append(out.Keys, uint32(key))
+		out.Counts = append(out.Counts, uint32(count))
+	}
+	targets := make(map[string]*pb.TargetUse)
+	of := func(target string) *pb.TargetUse {
+		t := targets[target]
+		if t == nil {
+			t = &pb.TargetUse{Target: target}
+			targets[target] = t
+			out.Targets = append(out.Targets, t)
+		}
+		return t
+	}
+	for target, count := range use.Running {
+		of(target).Running = uint32(count)
+	}
+	for target, count := range use.Wanted {
+		of(target).Wanted = uint32(count)
+	}
+	for target, seconds := range use.Seconds {
+		of(target).Seconds = float32(seconds)
+	}
+	return out
+}
+
+// reportOf decodes a report.
+func reportOf(in *pb.Report) demand.Report {
+	r := demand.Report{Host: in.Host, Services: make(map[string]demand.Use)}
+	for _, s := range in.Services {
+		use := demand.Use{
+			Keys: make(map[int]int), Running: make(map[string]int), Wanted: make(map[string]int), Seconds: make(map[string]float64),
+		}
+		for i, key := range s.Keys {
+			if i < len(s.Counts) {
+				use.Keys[int(key)] += int(s.Counts[i])
+			}
+		}
+		for _, t := range s.Targets {
+			use.Running[t.Target] = int(t.Running)
+			use.Wanted[t.Target] = int(t.Wanted)
+			if t.Seconds > 0 {
+				use.Seconds[t.Target] = float64(t.Seconds)
+			}
+		}
+		r.Services[s.Service] = use
+	}
+	return r
+}
+
+// replyOf encodes what a host is told.
+func replyOf(shares map[string]demand.Shares, hosts int) *pb.ReportReply {
+	out := &pb.ReportReply{Hosts: uint32(hosts)}
+	for name, s := range shares {
+		targets := make(map[string]*pb.TargetShare)
+		of := func(target string) *pb.TargetShare {
+			if targets[target] == nil {
+				targets[target] = &pb.TargetShare{Target: target}
+			}
+			return targets[target]
+		}
+		for target, others := range s.Others {
+			of(target).Others = float32(others)
+		}
+		for target, limit := range s.Limit {
+			of(target).Share = float32(limit)
+		}
+		service := &pb.ServiceShare{Service: name}
+		for _, t := range targets {
+			service.Targets = append(service.Targets, t)
+		}
+		out.Services = append(out.Services, service)
+	}
+	return out
+}
+
+func sharesOf(in *pb.ReportReply) map[string]demand.Shares {
+	out := make(map[string]demand.Shares)
+	for _, s := range in.Services {
+		shares := demand.Shares{Others: make(map[string]float64), Limit: make(map[string]float64)}
+		for _, t := range s.Targets {
+			shares.Others[t.Target] = float64(t.Others)
+			if t.Share > 0 {
+				shares.Limit[t.Target] = float64(t.Share)
+			}
+		}
+		out[s.Service] = shares
+	}
+	return out
+}
+
+// revision returns the store's revision that a host knows of a feed; 0: none.
+func (f *feed) revision() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.listed {
+		return 0
+	}
+	return f.mirror.Revision()
+}
+
+// relays returns what a host with these revisions does not know.
+func (n *Node) relays(known []*pb.FeedRevision) []*pb.Relay {
+	revisions := make(map[string]uint64, len(known))
+	for _, k := range known {
+		revisions[k.Prefix] = k.Revision
+	}
+	var out []*pb.Relay
+	for _, f := range n.feeds {
+		if r := f.relay(revisions[f.prefix]); r != nil {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+// relay returns what changed in a feed after a revision, or nil when this host
+// has not read it.
+func (f *feed) relay(revision uint64) *pb.Relay {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.listed {
+		return nil
+	}
+	changes := f.mirror.Since(revision)
+	out := &pb.Relay{
+		Prefix: f.prefix, AgeMs: uint64(ms(steady() - f.answered)), Revision: changes.Revision, Full: changes.Full,
+	}
+	for _, o := range changes.Objects {
+		out.Objects = append(out.Objects, &pb.RelayObject{
+			Name: o.Name, Version: o.Version, Deleted: o.Deleted, Value: f.packed.get(o),
+		})
+	}
+	return out
+}
+
+// takeRelays brings in force what the coordinator relayed.
+func (n *Node) takeRelays(relays []*pb.Relay) {
+	for _, r := range relays {
+		for _, f := range n.feeds {
+			if f.prefix != r.Prefix {
+				continue
+			}
+			if err := f.takeRelay(r); err != nil {
+				n.log.Emit(evBadObject, "kind", f.prefix, "from", "coordinator", "error", err.Error())
+			}
+		}
+	}
+}
+
+func (f *feed) takeRelay(r *pb.Relay) error {
+	batch := platform.Batch{Revision: r.Revision}
+	for _, o := range r.Objects {
+		value, err := unpack(o.Value)
+		if err != nil {
+			return errors.Wrap(err, o.Name)
+		}
+		batch.Objects = append(batch.Objects, platform.Object{Name: o.Name, Version: o.Version, Deleted: o.Deleted, Value: value})
+	}
+	f.take(batch, r.Full, time.Duration(r.AgeMs)*time.Millisecond)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.relayed = steady()
+	return nil
+}
+
+// packedValues keeps the compressed form of values, which all hosts are sent:
+// bytes between regions are dear.
+type packedValues map[string]packedValue
+
+type packedValue struct {
+	version uint64
+	bytes   []byte
+}
+
+func (p packedValues) get(o mirror.Object) []byte {
+	if o.Deleted {
+		delete(p, o.Name)
+		return nil
+	}
+	if v, ok := p[o.Name]; ok && v.version == o.Version {
+		return v.bytes
+	}
+	v := packedValue{o.Version, pack(o.Value)}
+	p[o.Name] = v
+	return v.bytes
+}
+
+// maxValue bounds a value that was sent by another host: that of the store.
+const maxValue = platform.MaxValueBytes
+
+// compressors are kept, as a new one takes most of a megabyte.
+var compressors = sync.Pool{New: func() any { return zlib.NewWriter(nil) }}
+
+func pack(value []byte) []byte {
+	var buf bytes.Buffer
+	w := compressors.Get().(*zlib.Writer)
+	defer compressors.Put(w)
+	w.Reset(&buf)
+	// A buffer takes every write.
+	_, _ = w.Write(value)
+	_ = w.Close()
+	return buf.Bytes()
+}
+
+func unpack(packed []byte) ([]byte, error) {
+	if len(packed) == 0 {
+		return nil, nil
+	}
+	r, err := zlib.NewReader(bytes.NewReader(packed))
+	if err != nil {
+		return nil, errors.Wrap(err, "unpack")
+	}
+	value, err := io.ReadAll(io.LimitReader(r, maxValue))
+	return value, errors.Wrap(err, "unpack")
+}
--- a/internal/entry/term.go
+++ b/internal/entry/term.go
@@ -32,9 +32,10 @@
 	// settleFor is how long a range stays after it has moved, before it may move
 	// for balance again: the window over which loads are smoothed.
 	settleFor = 1500 * time.Millisecond
-	// maxMoving is the number of ranges of a service that may move at once for
-	// balance.
-	maxMoving = 8
+	// movingShare is the part of a service's targets that may be given a range at
+	// once for balance, and minMoving the least number of them.
+	movingShare = 0.34
+	minMoving   = 8
 	// gatherFor is how long the targets of a new service must be the same before
 	// its keys are dealt out: about two heartbeats.
 	gatherFor = 1500 * time.Millisecond
@@ -175,8 +176,8 @@
 		return t.save(service, firstMap(service, targets))
 	}
 	moves := hotrange.Plan(hotrange.State{
-		Map: owned.keys, Targets: targets, Loads: t.o.loads.of(service), Fixed: t.fixed(service),
-	}, t.limits(owned.keys))
+		Map: owned.keys, Targets: targets, Loads: t.o.loads(service), Fixed: t.fixed(service),
+	}, t.limits(owned.keys, len(targets)))
 	if len(moves) == 0 {
 		t.moveAll(service)
 		return nil
@@ -197,7 +198,7 @@
 	return nil
 }
 
-func (t *term) limits(m *keyrange.Map) hotrange.Limits {
+func (t *term) limits(m *keyrange.Map, targets int) hotrange.Limits {
 	limits := hotrange.DefaultLimits
 	moving := 0
 	for _, r := range m.Ranges {
@@ -205,7 +206,7 @@
 			moving++
 		}
 	}
-	limits.Moves = max(0, min(limits.Moves, maxMoving-moving))
+	limits.Moves = max(0, max(minMoving, int(movingShare*float64(targets)))-moving)
 	return limits
 }
 
@@ -261,7 +262,7 @@
 		if e.Leaving || t.isDown(owner) {
 			continue
 		}
-		out = append(out, hotrange.Target{Owner: owner, Capacity: t.o.loads.capacity(service, owner.Target, e.Slots)})
+		out = append(out, hotrange.Target{Owner: owner, Capacity: t.o.capacity(service, owner.Target, e.Slots)})
 	}
 	return out
 }
