--- a/admission/pool/pool.go
+++ b/admission/pool/pool.go
@@ -192,12 +192,20 @@
 }
 
 // Wanted returns the requests that this host runs or would run at each target: of
-// a keyed service, those that wait for the owner of their key too.
-func (p *Pool) Wanted() map[string]int {
+// a keyed service, also those that wait for the owner of their key, and those
+// that were refused as it was full, by the time that they would have taken of
+// the interval since the last call.
+func (p *Pool) Wanted(interval time.Duration) map[string]int {
 	out := p.Running()
 	if !p.cfg.Keyed {
 		return out
 	}
+	for name, t := range p.targets {
+		if t.refused > 0 {
+			out[name] += int(math.Ceil(float64(t.refused) * p.serviceAt(t).Seconds() / interval.Seconds()))
+			t.refused = 0
+		}
+	}
 	for _, r := range p.waiting {
 		if t, _ := p.owner(r.Key); t != nil {
 			out[t.Owner.Target]++
@@ -256,10 +264,18 @@
 
 func (p *Pool) start(now time.Duration, t *target, fence uint64, r Request) Action {
 	t.running++
-	t.started(now)
+	t.started(now, p.serviceAt(t))
 	return Action{ID: r.ID, Start: true, Target: t.Owner, Fence: fence, Waited: now - r.Arrived}
 }
 
+// serviceAt returns the time of a request at a target that has a free slot.
+func (p *Pool) serviceAt(t *target) time.Duration {
+	if t.unloaded.samples == 0 {
+		return p.service.value
+	}
+	return t.unloaded.value
+}
+
 func (p *Pool) refuse(now time.Duration, r Request, why Reason, wait time.Duration) Action {
 	return Action{ID: r.ID, Reason: why, RetryAfter: max(wait, minRetryAfter), Waited: now - r.Arrived}
 }
@@ -280,6 +296,10 @@
 	wait := p.expectedWait(r)
 	latest := max(r.Goal, r.Arrived+(r.Deadline-r.Arrived)/3)
 	if now+wait+p.service.value > min(latest, r.Deadline) && now-r.Arrived < p.cfg.Cooling {
+		if p.cfg.Keyed {
+			t, _ := p.owner(r.Key)
+			t.refused++
+		}
 		return p.refuse(now, r, Full, wait), true
 	}
 	return Action{}, false
--- a/admission/pool/target.go
+++ b/admission/pool/target.go
@@ -46,6 +46,7 @@
 	others    float64       // requests of all other hosts, as last reported
 	share     float64       // of the requests that it runs at once; 0: no limit
 	notBefore time.Duration // gets the next request of a share below one
+	refused   int           // requests for its keys that were refused as it was full
 	window    float64       // requests of this host that it may run
 	service   estimate
 	unloaded  estimate      // of requests that found a free slot
@@ -89,9 +90,9 @@
 
 // started notes a start. With a share below one, the next one waits until this one
 // has taken its part of the time.
-func (t *target) started(now time.Duration) {
+func (t *target) started(now, service time.Duration) {
 	if t.share > 0 && t.share < 1 {
-		t.notBefore = now + time.Duration(float64(t.unloaded.value)/t.share)
+		t.notBefore = now + time.Duration(float64(service)/t.share)
 	}
 }
 
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -61,6 +61,7 @@
 	splitter  *routing.Splitter
 	directory *directory.Directory
 	owners    map[string]owners
+	history   ownersHistory
 
 	office *office
 	feeds  []*feed
@@ -76,6 +77,7 @@
 		services: make(map[string]*service),
 		splitter: routing.NewSplitter(),
 		owners:   make(map[string]owners),
+		history:  make(ownersHistory),
 		directory: directory.New(directory.Timing{
 			Away:   2 * s.Heartbeat,
 			Return: storeReturn,
@@ -277,6 +279,9 @@
 		return
 	}
 	n.owners[service] = o
+	if n.office.holds() {
+		n.history.add(service, o)
+	}
 	moving := slices.ContainsFunc(o.keys.Ranges, func(r keyrange.Range) bool { return len(r.Prev) > 0 })
 	n.log.Emit(evOwners, "service", service, "version", o.version, "ranges", len(o.keys.Ranges), "fence", o.keys.Fence, "moving", moving)
 	n.ownersChanged(service, o)
--- a/internal/entry/reportframe.go
+++ b/internal/entry/reportframe.go
@@ -3,7 +3,10 @@
 import (
 	"bytes"
 	"compress/zlib"
+	"encoding/json"
 	"io"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -12,6 +15,7 @@
 	"github.com/mangopost/mangopost/internal/platform"
 	"github.com/mangopost/mangopost/internal/wire/pb"
 	"github.com/mangopost/mangopost/membership/mirror"
+	"github.com/mangopost/mangopost/ownership/keyrange"
 	"github.com/mangopost/mangopost/placement/demand"
 )
 
@@ -160,6 +164,12 @@
 		Prefix: f.prefix, AgeMs: uint64(ms(steady() - f.answered)), Revision: changes.Revision, Full: changes.Full,
 	}
 	for _, o := range changes.Objects {
+		if !changes.Full {
+			if patch := f.n.patchOf(o, revision); patch != nil {
+				out.Objects = append(out.Objects, patch)
+				continue
+			}
+		}
 		out.Objects = append(out.Objects, &pb.RelayObject{
 			Name: o.Name, Version: o.Version, Deleted: o.Deleted, Value: f.packed.get(o),
 		})
@@ -167,6 +177,67 @@
 	return out
 }
 
+// patchOf returns a map of owners as a patch to the version that a host at the
+// revision has, or nil when it is not remembered or the object is no map.
+func (n *Node) patchOf(o mirror.Object, revision uint64) *pb.RelayObject {
+	service, ok := strings.CutPrefix(o.Name, ownersPrefix)
+	if !ok || o.Deleted {
+		return nil
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	before, after := n.history.at(service, revision), n.owners[service]
+	if before.keys == nil || after.version != o.Version {
+		return nil
+	}
+	value, err := json.Marshal(keyrange.Diff(before.keys, after.keys))
+	if err != nil {
+		return nil // the whole map is sent
+	}
+	return &pb.RelayObject{Name: o.Name, Version: o.Version, Base: before.version, Value: pack(value)}
+}
+
+// patched returns the value of a map of owners that was sent as a patch.
+func (n *Node) patched(o *pb.RelayObject, value []byte) ([]byte, error) {
+	service, _ := strings.CutPrefix(o.Name, ownersPrefix)
+	var p keyrange.Patch
+	if err := json.Unmarshal(value, &p); err != nil {
+		return nil, err
+	}
+	n.mu.Lock()
+	before := n.owners[service]
+	n.mu.Unlock()
+	if before.keys == nil || before.version != o.Base {
+		return nil, errors.Newf("patch to version %d, have %d", o.Base, before.version)
+	}
+	return json.Marshal(p.Apply(before.keys))
+}
+
+// maxHistory is the number of versions of a map that are remembered: those of
+// several reports.
+const maxHistory = 32
+
+// ownersHistory holds the latest versions of maps, by service, oldest first.
+type ownersHistory map[string][]owners
+
+func (h ownersHistory) add(service string, o owners) {
+	list := append(h[service], o)
+	if len(list) > maxHistory {
+		list = slices.Delete(list, 0, len(list)-maxHistory)
+	}
+	h[service] = list
+}
+
+// at returns the version that was in force at a revision of the store.
+func (h ownersHistory) at(service string, revision uint64) owners {
+	for _, o := range slices.Backward(h[service]) {
+		if o.version <= revision {
+			return o
+		}
+	}
+	return owners{}
+}
+
 // takeRelays brings in force what the coordinator relayed.
 func (n *Node) takeRelays(relays []*pb.Relay) {
 	for _, r := range relays {
@@ -185,7 +256,11 @@
 	batch := platform.Batch{Revision: r.Revision}
 	for _, o := range r.Objects {
 		value, err := unpack(o.Value)
+		if err == nil && o.Base > 0 {
+			value, err = f.n.patched(o, value)
+		}
 		if err != nil {
+			f.unlist() // the next report asks for everything
 			return errors.Wrap(err, o.Name)
 		}
 		batch.Objects = append(batch.Objects, platform.Object{Name: o.Name, Version: o.Version, Deleted: o.Deleted, Value: value})
--- a/internal/entry/reports.go
+++ b/internal/entry/reports.go
@@ -124,7 +124,7 @@
 	r := demand.Report{Host: n.settings.Load().Host, Services: make(map[string]demand.Use)}
 	for name, s := range n.allServices() {
 		var use demand.Use
-		s.change(func(p *pool.Pool) { use.Running, use.Wanted = p.Running(), p.Wanted() })
+		s.change(func(p *pool.Pool) { use.Running, use.Wanted = p.Running(), p.Wanted(reportEvery) })
 		if s.keyed {
 			use.Keys = s.takeArrivals()
 			use.Seconds = s.takeSpeeds()
--- a/ownership/keyrange/encoding.go
+++ b/ownership/keyrange/encoding.go
@@ -27,26 +27,38 @@
 	rangePrev
 )
 
+// ownerList gives each owner an index.
+type ownerList struct {
+	owners []Owner
+	index  map[Owner]uint64
+}
+
+func (l *ownerList) of(o Owner) uint64 {
+	i, ok := l.index[o]
+	if !ok {
+		i = uint64(len(l.owners))
+		l.index[o] = i
+		l.owners = append(l.owners, o)
+	}
+	return i
+}
+
+func (l *ownerList) encode(r Range) encodedRange {
+	out := encodedRange{uint64(r.To), l.of(r.Owner), r.Fence}
+	for _, prev := range r.Prev {
+		out = append(out, l.of(prev.Owner), prev.Fence)
+	}
+	return out
+}
+
 // MarshalJSON implements json.Marshaler.
 func (m Map) MarshalJSON() ([]byte, error) {
 	e := encodedMap{Service: m.Service, Fence: m.Fence}
-	index := make(map[Owner]uint64)
-	of := func(o Owner) uint64 {
-		i, ok := index[o]
-		if !ok {
-			i = uint64(len(e.Owners))
-			index[o] = i
-			e.Owners = append(e.Owners, o)
-		}
-		return i
-	}
+	list := ownerList{index: make(map[Owner]uint64)}
 	for _, r := range m.Ranges {
-		out := encodedRange{uint64(r.To), of(r.Owner), r.Fence}
-		for _, prev := range r.Prev {
-			out = append(out, of(prev.Owner), prev.Fence)
-		}
-		e.Ranges = append(e.Ranges, out)
+		e.Ranges = append(e.Ranges, list.encode(r))
 	}
+	e.Owners = list.owners
 	return json.Marshal(e)
 }
 
--- a/ownership/keyrange/map.go
+++ b/ownership/keyrange/map.go
@@ -105,7 +105,7 @@
 	out := m.Ranges[:1]
 	for _, r := range m.Ranges[1:] {
 		last := &out[len(out)-1]
-		if last.Fence == r.Fence && last.Owner == r.Owner && slices.Equal(last.Prev, r.Prev) {
+		if sameHolding(*last, r) {
 			last.To = r.To
 			continue
 		}
--- a/placement/hotrange/plan.go
+++ b/placement/hotrange/plan.go
@@ -155,11 +155,15 @@
 
 // balance moves slices from the heaviest to the lightest target. A slice is only
 // as large as brings one of the two to the mean: what is too hot for one target
-// is dealt to several.
+// is dealt to several. A target that cannot give anything is passed over.
 func (p *planner) balance(s State, limits Limits) {
 	mean := p.mean()
-	for range limits.Moves {
-		from, to := p.heaviest(), p.lightest(0)
+	stuck := make(map[int]bool)
+	for moved := 0; moved < limits.Moves; {
+		from, to := p.heaviest(stuck), p.lightest(0)
+		if from < 0 {
+			return
+		}
 		high, low := p.share(from, 0), p.share(to, 0)
 		busy := high >= limits.Start && high-low >= limits.Gain
 		if !busy && low >= limits.Idle*mean || high <= mean {
@@ -168,14 +172,53 @@
 		want := min((high-mean)*p.targets[from].Capacity, (mean-low)*p.targets[to].Capacity)
 		slice, ok := p.slice(from, want, s.Fixed)
 		if !ok {
-			return
+			slice, to, ok = p.hotKey(from, min(high-limits.Gain, hotKeyGain*high), s.Fixed)
+		}
+		if !ok {
+			stuck[from] = true
+			continue
 		}
 		p.load[from] -= p.sums.of(slice.From, slice.To)
 		p.move(slice.From, slice.To, to, Hot)
 		p.m.Assign(slice.From, slice.To, p.targets[to].Owner)
+		moved++
 	}
 }
 
+// hotKey returns a key at the end of one of the target's ranges that is too hot
+// to be part of a slice, and the target that would have the least share with it,
+// if that share is below the limit.
+func (p *planner) hotKey(target int, limit float64, fixed func(keyrange.Range) bool) (keyrange.Range, int, bool) {
+	var best keyrange.Range
+	bestTo, bestShare := 0, limit
+	for _, r := range p.m.Ranges {
+		if !p.movable(r, target, fixed) {
+			continue
+		}
+		for _, key := range []int{r.From, r.To} {
+			load := p.sums.of(key, key)
+			to := p.lightest(load)
+			if share := p.share(to, load); to != target && load > leastKey*p.load[target] && share < bestShare {
+				best, bestTo, bestShare = keyrange.Range{From: key, To: key}, to, share
+			}
+		}
+	}
+	return best, bestTo, bestShare < limit
+}
+
+// hotKeyGain is what must be left of the giver's share at the taker for a key to
+// be moved alone: its callers wait while it moves.
+const hotKeyGain = 0.75
+
+// leastKey is the part of its owner's load that a key must carry to be moved
+// alone.
+const leastKey = 0.1
+
+// movable reports whether a part of the range may leave the target.
+func (p *planner) movable(r keyrange.Range, target int, fixed func(keyrange.Range) bool) bool {
+	return r.Owner.Same(p.targets[target].Owner) && len(r.Prev) == 0 && (fixed == nil || !fixed(r))
+}
+
 // mean returns the share that all targets would have if they had the same.
 func (p *planner) mean() float64 {
 	capacity := 0.0
@@ -185,10 +228,11 @@
 	return p.sums.total() / max(capacity, 0.01)
 }
 
-func (p *planner) heaviest() int {
-	best := 0
+// heaviest returns the target with the greatest share that is not stuck, or -1.
+func (p *planner) heaviest(stuck map[int]bool) int {
+	best := -1
 	for i := range p.targets {
-		if p.share(i, 0) > p.share(best, 0) {
+		if !stuck[i] && (best < 0 || p.share(i, 0) > p.share(best, 0)) {
 			best = i
 		}
 	}
@@ -211,7 +255,7 @@
 	var best keyrange.Range
 	bestScore := 0.0
 	for _, r := range p.m.Ranges {
-		if !r.Owner.Same(p.targets[target].Owner) || len(r.Prev) > 0 || fixed != nil && fixed(r) {
+		if !p.movable(r, target, fixed) {
 			continue
 		}
 		for _, c := range []keyrange.Range{p.head(r, want*overshoot), p.tail(r, want*overshoot)} {
