--- /dev/null
+++ b/lease/coordinator/coordinator_test.go
@@ -0,0 +1,184 @@
+package coordinator_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/mangopost/mangopost/lease/coordinator"
+)
+
+var timing = coordinator.Timing{Term: 2500 * time.Millisecond, Margin: 400 * time.Millisecond, Renew: 800 * time.Millisecond}
+
+func record(host int) coordinator.Record {
+	return coordinator.Record{Holder: fmt.Sprintf("h%d", host), Run: int64(host), Addr: fmt.Sprintf("10.0.0.%d:1", host)}
+}
+
+func TestAFreeRecordIsTakenAtOnce(t *testing.T) {
+	e := coordinator.New(record(1), timing)
+	_, due := e.Next(0)
+	assert.Assert(t, !due, "nothing was read yet")
+	e.Observe(0, 0, coordinator.Record{})
+	w, due := e.Next(0)
+	assert.Assert(t, due)
+	assert.Equal(t, w.Expected, uint64(0))
+	assert.Assert(t, !e.Holds(0), "the write was not acknowledged")
+	e.Acknowledged(50*time.Millisecond, 10*time.Millisecond, 7, w)
+	assert.Assert(t, e.Holds(10*time.Millisecond+timing.Term-1))
+	assert.Assert(t, !e.Holds(10*time.Millisecond+timing.Term), "the term counts from the send")
+}
+
+func TestAnotherHostWaitsForTermAndMargin(t *testing.T) {
+	e := coordinator.New(record(2), timing)
+	e.Observe(time.Second, 7, record(1))
+	_, due := e.Next(time.Second + timing.Term)
+	assert.Assert(t, !due)
+	e.Observe(2*time.Second, 8, record(1))
+	_, due = e.Next(time.Second + timing.Term + timing.Margin)
+	assert.Assert(t, !due, "it was renewed since")
+	w, due := e.Next(2*time.Second + timing.Term + timing.Margin)
+	assert.Assert(t, due)
+	assert.Equal(t, w.Expected, uint64(8))
+}
+
+func TestAProcessTakesOverFromItsPredecessorAtOnce(t *testing.T) {
+	before := record(1)
+	before.Run = 99
+	e := coordinator.New(record(1), timing)
+	e.Observe(0, 7, before)
+	_, due := e.Next(0)
+	assert.Assert(t, due)
+
+	elsewhere := before
+	elsewhere.Addr = "10.0.0.9:1"
+	e = coordinator.New(record(1), timing)
+	e.Observe(0, 7, elsewhere)
+	_, due = e.Next(0)
+	assert.Assert(t, !due, "a host of that name at another address may still run")
+}
+
+func TestAWriteWithoutAnswerGivesNothing(t *testing.T) {
+	e := coordinator.New(record(1), timing)
+	e.Observe(0, 0, coordinator.Record{})
+	w, _ := e.Next(0)
+	e.Failed(time.Second)
+	e.Observe(1100*time.Millisecond, 7, w.Record) // it was done after all
+	assert.Assert(t, !e.Holds(1100*time.Millisecond))
+	w, due := e.Next(2 * time.Second)
+	assert.Assert(t, due, "the holder renews to learn where it stands")
+	assert.Equal(t, w.Expected, uint64(7))
+}
+
+func TestAnOldObservationIsPassedOver(t *testing.T) {
+	e := coordinator.New(record(2), timing)
+	e.Observe(0, 8, record(3))
+	e.Observe(time.Second, 7, record(1))
+	assert.Equal(t, e.Holder().Holder, "h3")
+}
+
+// world is a store and hosts whose clocks run on while their processes stand
+// still.
+type world struct {
+	now     time.Duration
+	version uint64
+	record  coordinator.Record
+	hosts   []*host
+	late    []lateWrite
+}
+
+type host struct {
+	*coordinator.Election
+	frozenUntil time.Duration
+	answers     []func(now time.Duration) // that the host has not read yet
+}
+
+type lateWrite struct {
+	at time.Duration
+	w  coordinator.Write
+}
+
+func (w *world) put(write coordinator.Write) (uint64, bool) {
+	if write.Expected != w.version {
+		return 0, false
+	}
+	w.version++
+	w.record = write.Record
+	return w.version, true
+}
+
+// step lets one host act, with lost answers, late writes, stale reads and
+// freezes as drawn.
+func (w *world) step(t *rapid.T) {
+	w.now += time.Duration(rapid.IntRange(1, 400).Draw(t, "ms")) * time.Millisecond
+	for len(w.late) > 0 && w.late[0].at <= w.now {
+		w.put(w.late[0].w)
+		w.late = w.late[1:]
+	}
+	h := w.hosts[rapid.IntRange(0, len(w.hosts)-1).Draw(t, "host")]
+	if w.now < h.frozenUntil {
+		return
+	}
+	for _, answer := range h.answers {
+		answer(w.now)
+	}
+	h.answers = nil
+	if rapid.IntRange(0, 9).Draw(t, "read") < 7 {
+		h.Observe(w.now, w.version, w.record)
+	}
+	if write, due := h.Next(w.now); due {
+		w.send(t, h, write)
+	}
+	if rapid.IntRange(0, 19).Draw(t, "freeze") == 0 {
+		h.frozenUntil = w.now + time.Duration(rapid.IntRange(100, 6000).Draw(t, "freeze ms"))*time.Millisecond
+	}
+}
+
+func (w *world) send(t *rapid.T, h *host, write coordinator.Write) {
+	sentAt := w.now
+	switch rapid.IntRange(0, 5).Draw(t, "fate") {
+	case 0: // not done
+		h.answers = append(h.answers, func(now time.Duration) { h.Failed(now) })
+	case 1: // done, not answered
+		w.put(write)
+		h.answers = append(h.answers, func(now time.Duration) { h.Failed(now) })
+	case 2: // done later, if its condition still holds
+		w.late = append(w.late, lateWrite{w.now + 2*time.Second, write})
+		h.answers = append(h.answers, func(now time.Duration) { h.Failed(now) })
+	default:
+		version, ok := w.put(write)
+		h.answers = append(h.answers, func(now time.Duration) {
+			if ok {
+				h.Acknowledged(now, sentAt, version, write)
+			} else {
+				h.Failed(now)
+			}
+		})
+	}
+}
+
+// TestOneCoordinatorAtMost fails for an election that counts its term from the
+// acknowledgement, that takes a record before Term, that takes a write without an
+// answer as done, or that takes an older version in.
+func TestOneCoordinatorAtMost(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := &world{}
+		for i := range 3 {
+			w.hosts = append(w.hosts, &host{Election: coordinator.New(record(i), timing)})
+		}
+		for range 300 {
+			w.step(t)
+			holders := 0
+			for _, h := range w.hosts {
+				if h.Holds(w.now) {
+					holders++
+				}
+			}
+			if holders > 1 {
+				t.Fatalf("%d coordinators at %v", holders, w.now)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/membership/directory/directory_test.go
@@ -0,0 +1,61 @@
+package directory_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/mangopost/mangopost/membership/directory"
+)
+
+const second = time.Second
+
+func newDirectory() *directory.Directory {
+	d := directory.New(directory.Timing{Away: second, Return: 2 * second})
+	d.Heard(0)
+	d.Replace(0, []directory.Entry{{Name: "a", Service: "s", Run: 1, Heartbeat: 1}, {Name: "b", Service: "s", Run: 1}})
+	return d
+}
+
+func TestAnEntryThatGoesIsGone(t *testing.T) {
+	d := newDirectory()
+	d.Heard(second / 2)
+	d.Remove(second/2, "a")
+	assert.Equal(t, len(d.Of("s")), 1)
+}
+
+func TestEntriesThatLapsedWhileTheStoreWasAwayAreKeptUntilTheyMustBeBack(t *testing.T) {
+	d := newDirectory()
+	d.Heard(5 * second) // after an outage
+	d.Replace(5*second, nil)
+	assert.Equal(t, len(d.Of("s")), 2)
+	d.Put(6*second, directory.Entry{Name: "a", Service: "s", Run: 1, Heartbeat: 2})
+	d.Heard(6 * second)
+	assert.Assert(t, !d.Tick(6*second))
+	assert.Assert(t, d.Tick(7*second))
+	assert.Equal(t, len(d.Of("s")), 1)
+	_, ok := d.Get("a")
+	assert.Assert(t, ok, "it wrote again")
+}
+
+func TestAnEntryThatGoesAfterTheReturnIsGone(t *testing.T) {
+	d := newDirectory()
+	d.Heard(5 * second)
+	d.Heard(5*second + second/2)
+	d.Heard(6 * second)
+	d.Heard(6*second + second/2)
+	d.Heard(7*second + second/4)
+	d.Remove(7*second+second/4, "a")
+	assert.Equal(t, len(d.Of("s")), 1)
+}
+
+func TestSilentCountsFromTheLastHeartbeat(t *testing.T) {
+	d := newDirectory()
+	d.Heard(second)
+	d.Put(second, directory.Entry{Name: "a", Service: "s", Run: 1, Heartbeat: 1, Leaving: true})
+	assert.Equal(t, d.Silent("a"), second, "a change is no heartbeat")
+	d.Heard(2 * second)
+	d.Put(2*second, directory.Entry{Name: "a", Service: "s", Run: 1, Heartbeat: 2})
+	assert.Equal(t, d.Silent("a"), time.Duration(0))
+}
--- /dev/null
+++ b/ownership/grants/ledger_test.go
@@ -0,0 +1,75 @@
+package grants_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/mangopost/mangopost/ownership/grants"
+	"github.com/mangopost/mangopost/ownership/keyrange"
+)
+
+var a = keyrange.Owner{Target: "a", Run: 1}
+
+const (
+	hold    = 4 * time.Second
+	timeout = 500 * time.Millisecond
+	longest = 10 * time.Second
+)
+
+func TestASlowClockHoldsLonger(t *testing.T) {
+	assert.Assert(t, grants.End(0, hold) >= hold*102/100)
+}
+
+func TestATakeoverWaitsForWhatThePredecessorMayHaveSent(t *testing.T) {
+	l := grants.NewLedger(time.Minute, timeout, longest)
+	end, ok := l.EndOf(a, 7)
+	assert.Assert(t, ok)
+	assert.Equal(t, end, grants.End(time.Minute+timeout, longest))
+	l.Sending(a, 7)
+	l.Answered(time.Minute, a, 7, hold)
+	end, _ = l.EndOf(a, 7)
+	assert.Equal(t, end, grants.End(time.Minute+timeout, longest), "a renewal does not shorten an earlier grant")
+}
+
+func TestAGrantUnderWayHasNoEnd(t *testing.T) {
+	l := grants.NewLedger(-time.Hour, timeout, longest)
+	l.Sending(a, 7)
+	_, ok := l.EndOf(a, 7)
+	assert.Assert(t, !ok)
+	l.Sending(a, 7)
+	l.Answered(time.Second, a, 7, hold)
+	_, ok = l.EndOf(a, 7)
+	assert.Assert(t, !ok, "one of two is under way")
+	l.GivenUp(3*time.Second, a, 7, hold)
+	end, ok := l.EndOf(a, 7)
+	assert.Assert(t, ok)
+	assert.Equal(t, end, grants.End(3*time.Second, hold))
+}
+
+// A grant without an answer may be applied after a release: only its end counts.
+func TestAnUnansweredGrantOutlivesARelease(t *testing.T) {
+	l := grants.NewLedger(-time.Hour, timeout, longest)
+	l.Sending(a, 7)
+	l.GivenUp(2*time.Second, a, 7, hold)
+	l.Sending(a, 7)
+	l.Answered(3*time.Second, a, 7, hold)
+	unclear, ok := l.EndOfUnclear(a, 7)
+	assert.Assert(t, ok)
+	assert.Equal(t, unclear, grants.End(2*time.Second, hold))
+	other, _ := l.EndOfUnclear(keyrange.Owner{Target: "a", Run: 2}, 7)
+	assert.Equal(t, other, time.Duration(0), "another start of the target has no such grant")
+}
+
+func TestForgetKeepsWhatHasNotEnded(t *testing.T) {
+	l := grants.NewLedger(-time.Hour, timeout, longest)
+	l.Sending(a, 7)
+	l.GivenUp(0, a, 7, hold)
+	l.Forget(hold)
+	end, _ := l.EndOfUnclear(a, 7)
+	assert.Assert(t, end > hold)
+	l.Forget(time.Minute)
+	end, _ = l.EndOfUnclear(a, 7)
+	assert.Equal(t, end, time.Duration(0))
+}
--- /dev/null
+++ b/ownership/keyrange/map_test.go
@@ -0,0 +1,127 @@
+package keyrange_test
+
+import (
+	"encoding/json"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/mangopost/mangopost/ownership/keyrange"
+)
+
+func owner(i int) keyrange.Owner {
+	return keyrange.Owner{Target: string(rune('a' + i)), Run: int64(100 + i), Addr: "10.0.0.1:80"}
+}
+
+func fourOwners() *keyrange.Map {
+	return keyrange.New("s", []keyrange.Owner{owner(0), owner(1), owner(2), owner(3)}, []float64{1, 1, 2, 4})
+}
+
+func TestNewDealsKeysByWeight(t *testing.T) {
+	m := fourOwners()
+	assert.Equal(t, len(keyrange.Check(m)), 0)
+	assert.Equal(t, m.Ranges[0].Keys(), 8192)
+	assert.Equal(t, m.Ranges[3].Keys(), 32768)
+	assert.Equal(t, m.At(0), 0)
+	assert.Equal(t, m.At(keyrange.MaxKey), 3)
+	assert.Equal(t, m.At(keyrange.MaxKey+1), -1)
+}
+
+func TestAssignKeepsEveryOwnerThatMayHoldKeys(t *testing.T) {
+	m := fourOwners()
+	m.Assign(100, 200, owner(1))
+	m.Assign(150, 180, owner(2)) // owner 1 may have been granted its keys just before
+	r := m.Ranges[m.At(160)]
+	assert.Equal(t, r.Owner, owner(2))
+	assert.Equal(t, len(r.Prev), 2)
+	assert.Equal(t, r.Prev[1].Owner, owner(1))
+	assert.Assert(t, m.Settle(150, r.Fence))
+	assert.Assert(t, !m.Settle(150, r.Fence), "settled twice")
+	assert.Equal(t, len(m.Ranges[m.At(160)].Prev), 0)
+	assert.Equal(t, len(m.Ranges[m.At(120)].Prev), 1, "the rest of the move goes on")
+}
+
+// changes applies random changes to a map and checks each step.
+func changes(t *rapid.T, m *keyrange.Map) *keyrange.Map {
+	for range rapid.IntRange(1, 12).Draw(t, "changes") {
+		before := m.Clone()
+		if rapid.Bool().Draw(t, "settle") {
+			i := rapid.IntRange(0, len(m.Ranges)-1).Draw(t, "range")
+			m.Settle(m.Ranges[i].From, m.Ranges[i].Fence)
+		} else {
+			from := rapid.IntRange(0, keyrange.MaxKey).Draw(t, "from")
+			to := rapid.IntRange(from, keyrange.MaxKey).Draw(t, "to")
+			m.Assign(from, to, owner(rapid.IntRange(0, 5).Draw(t, "owner")))
+		}
+		checkStep(t, before, m)
+	}
+	return m
+}
+
+// checkStep: every key keeps one owner, an owner changes only under a higher
+// fence than any before, and whoever may hold a key stays known.
+func checkStep(t *rapid.T, before, after *keyrange.Map) {
+	if faults := keyrange.Check(after); len(faults) > 0 {
+		t.Fatalf("%v", faults)
+	}
+	for _, key := range rapid.SliceOfN(rapid.IntRange(0, keyrange.MaxKey), 20, 20).Draw(t, "keys") {
+		a, b := before.Ranges[before.At(key)], after.Ranges[after.At(key)]
+		if a.Fence == b.Fence {
+			assert.Equal(t, a.Owner, b.Owner)
+			continue
+		}
+		assert.Assert(t, b.Fence > before.Fence, "key %d: fence %d was used before", key, b.Fence)
+		last := b.Prev[len(b.Prev)-1]
+		assert.Assert(t, last.Owner == a.Owner && last.Fence == a.Fence, "key %d: the owner before is forgotten", key)
+		assert.Equal(t, len(b.Prev), len(a.Prev)+1)
+	}
+}
+
+func TestStepsOfAMap(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) { changes(t, fourOwners()) })
+}
+
+func TestMapsAndPatchesSurviveTheirEncoding(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		before := changes(t, fourOwners())
+		after := changes(t, before.Clone())
+		var read keyrange.Map
+		roundTrip(t, after, &read)
+		same(t, &read, after)
+		var patch keyrange.Patch
+		roundTrip(t, keyrange.Diff(before, after), &patch)
+		same(t, patch.Apply(before), after)
+	})
+}
+
+func roundTrip(t *rapid.T, in, out any) {
+	data, err := json.Marshal(in)
+	assert.NilError(t, err)
+	assert.NilError(t, json.Unmarshal(data, out))
+}
+
+// same compares what maps say of each key; neighbours may be joined in one only.
+func same(t *rapid.T, a, b *keyrange.Map) {
+	assert.Equal(t, len(keyrange.Check(a)), 0)
+	assert.Equal(t, a.Fence, b.Fence)
+	assert.Equal(t, len(keyrange.Diff(a, b).Ranges), 0)
+}
+
+func FuzzUnmarshal(f *testing.F) {
+	good, err := json.Marshal(fourOwners())
+	assert.NilError(f, err)
+	f.Add(good)
+	f.Add([]byte(`{"owners":[],"ranges":[[65535,0,1]]}`))
+	f.Add([]byte(`{"owners":[{"target":"a"}],"ranges":[[18446744073709551615,0,1,2]]}`))
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		var m keyrange.Map
+		if json.Unmarshal(data, &m) == nil {
+			keyrange.Check(&m)
+		}
+		var p keyrange.Patch
+		if json.Unmarshal(data, &p) == nil {
+			p.Apply(fourOwners())
+		}
+	})
+}
--- /dev/null
+++ b/placement/hotrange/plan_test.go
@@ -0,0 +1,210 @@
+package hotrange_test
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/mangopost/mangopost/ownership/keyrange"
+	"github.com/mangopost/mangopost/placement/hotrange"
+)
+
+const window = 1.5 // seconds
+
+func targets(capacities ...float64) []hotrange.Target {
+	var out []hotrange.Target
+	for i, c := range capacities {
+		out = append(out, hotrange.Target{Owner: keyrange.Owner{Target: fmt.Sprintf("t%02d", i), Run: 1}, Capacity: c})
+	}
+	return out
+}
+
+func mapOf(list []hotrange.Target) *keyrange.Map {
+	var owners []keyrange.Owner
+	var weights []float64
+	for _, t := range list {
+		owners, weights = append(owners, t.Owner), append(weights, t.Capacity)
+	}
+	return keyrange.New("s", owners, weights)
+}
+
+// rate puts a rate of requests a second on a key.
+func rate(l *hotrange.Loads, key int, perSecond float64) { l.Add(key, perSecond*window, window) }
+
+// rounds plans until nothing moves or the rounds are over, and settles each move
+// at once.
+func rounds(t *testing.T, m *keyrange.Map, list []hotrange.Target, loads *hotrange.Loads, n int) (moves int) {
+	t.Helper()
+	for range n {
+		plan := hotrange.Plan(hotrange.State{Map: m, Targets: list, Loads: loads}, hotrange.DefaultLimits)
+		if len(plan) == 0 {
+			return moves
+		}
+		moves += len(plan)
+		for _, move := range plan {
+			m.Assign(move.From, move.To, move.Owner)
+		}
+		assert.Equal(t, len(keyrange.Check(m)), 0)
+		for _, r := range m.Clone().Ranges {
+			m.Settle(r.From, r.Fence)
+		}
+	}
+	return moves
+}
+
+// shares returns each target's load as a part of its capacity.
+func shares(m *keyrange.Map, list []hotrange.Target, keys map[int]float64) map[string]float64 {
+	out := make(map[string]float64)
+	for key, load := range keys {
+		out[m.Ranges[m.At(key)].Owner.Target] += load
+	}
+	for _, t := range list {
+		out[t.Owner.Target] /= t.Capacity
+	}
+	return out
+}
+
+func highest(of map[string]float64) float64 {
+	most := 0.0
+	for _, share := range of {
+		most = max(most, share)
+	}
+	return most
+}
+
+// Pattern: a third of the load is on 200 keys that lie together, of one owner.
+func TestAHotSpotIsDealtToSeveralTargets(t *testing.T) {
+	list := targets(40, 40, 40, 40, 40, 40, 40, 40)
+	m, loads, keys := mapOf(list), &hotrange.Loads{}, make(map[int]float64)
+	for k := range 200 {
+		keys[20000+k] = 0.5
+	}
+	for k := range 1000 {
+		keys[k*64] += 0.1
+	}
+	for key, r := range keys {
+		rate(loads, key, r)
+	}
+	assert.Assert(t, highest(shares(m, list, keys)) > 2.5)
+	moves := rounds(t, m, list, loads, 4)
+	assert.Assert(t, highest(shares(m, list, keys)) < 0.85, "%v", shares(m, list, keys))
+	assert.Assert(t, moves <= 16, "%d moves", moves)
+}
+
+// Pattern: one key has more requests than any target runs. It ends on the
+// fastest target, and what else was there leaves.
+func TestASingleHotKeyGoesToTheFastestTarget(t *testing.T) {
+	list := targets(20, 20, 60, 20)
+	m, loads, keys := mapOf(list), &hotrange.Loads{}, map[int]float64{1000: 90}
+	for k := range 60 {
+		keys[k*100+37] += 0.5
+	}
+	for key, r := range keys {
+		rate(loads, key, r)
+	}
+	rounds(t, m, list, loads, 10)
+	r := m.Ranges[m.At(1000)]
+	assert.Equal(t, r.Owner.Target, "t02")
+	others := 0.0
+	for key, load := range keys {
+		if key != 1000 && m.Ranges[m.At(key)].Owner.Target == "t02" {
+			others += load
+		}
+	}
+	assert.Assert(t, others < 3, "%v requests a second stay beside the hot key", others)
+}
+
+// Pattern: a target that can give nothing must not end the plan for the others.
+func TestAStuckTargetDoesNotHideTheNext(t *testing.T) {
+	list := targets(30, 30, 30, 30)
+	m, loads := mapOf(list), &hotrange.Loads{}
+	rate(loads, 100, 80) // alone on t00, nowhere better
+	for k := range 60 {
+		rate(loads, 17000+k, 0.8) // 48 a second on t01
+	}
+	plan := hotrange.Plan(hotrange.State{Map: m, Targets: list, Loads: loads}, hotrange.DefaultLimits)
+	from := make(map[string]bool)
+	for _, move := range plan {
+		from[m.Ranges[m.At(move.From)].Owner.Target] = true
+	}
+	assert.Assert(t, from["t01"], "%v", plan)
+}
+
+// Pattern: targets that join get their share though nothing is full.
+func TestAJoiningTargetGetsKeys(t *testing.T) {
+	list := targets(40, 40, 40)
+	m, loads := mapOf(list[:2]), &hotrange.Loads{}
+	for k := range 100 {
+		rate(loads, k*655, 0.1)
+	}
+	rounds(t, m, list, loads, 5)
+	count := 0
+	for _, r := range m.Ranges {
+		if r.Owner.Target == "t02" {
+			count += r.Keys()
+		}
+	}
+	assert.Assert(t, count > 8000, "%d keys", count)
+}
+
+// Pattern: calm load, evenly spread: nothing moves.
+func TestEvenLoadStays(t *testing.T) {
+	list := targets(40, 40, 40, 40)
+	m, loads := mapOf(list), &hotrange.Loads{}
+	for k := range 1000 {
+		rate(loads, k*65, 0.07)
+	}
+	assert.Equal(t, rounds(t, m, list, loads, 3), 0)
+}
+
+// TestLostOwnersLoseEverything: whatever the limits, no key stays with an owner
+// that is not among the targets, nor with an earlier start of one.
+func TestLostOwnersLoseEverything(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		list := targets(10, 20, 30, 40)
+		m, loads := mapOf(list), &hotrange.Loads{}
+		for range rapid.IntRange(0, 50).Draw(t, "hot") {
+			rate(loads, rapid.IntRange(0, keyrange.MaxKey).Draw(t, "key"), 5)
+		}
+		left := list[rapid.IntRange(1, 3).Draw(t, "lost"):]
+		if rapid.Bool().Draw(t, "restarted") {
+			left = append([]hotrange.Target(nil), left...)
+			left[0].Owner.Run = 2
+		}
+		for _, move := range hotrange.Plan(hotrange.State{Map: m, Targets: left, Loads: loads}, hotrange.Limits{}) {
+			m.Assign(move.From, move.To, move.Owner)
+		}
+		for _, r := range m.Ranges {
+			found := false
+			for _, target := range left {
+				found = found || target.Owner == r.Owner
+			}
+			assert.Assert(t, found, "%v", r)
+		}
+	})
+}
+
+func TestFixedRangesStay(t *testing.T) {
+	list := targets(10, 10)
+	m, loads := mapOf(list), &hotrange.Loads{}
+	for k := range 40 {
+		rate(loads, 100+k, 1)
+	}
+	fixed := func(keyrange.Range) bool { return true }
+	plan := hotrange.Plan(hotrange.State{Map: m, Targets: list, Loads: loads, Fixed: fixed}, hotrange.DefaultLimits)
+	assert.Equal(t, len(plan), 0)
+}
+
+func TestLoadsAge(t *testing.T) {
+	l := &hotrange.Loads{}
+	l.Add(5, 3, window)
+	l.Decay(window, window)
+	list := targets(1, 1)
+	plan := hotrange.Plan(hotrange.State{Map: mapOf(list), Targets: list, Loads: l}, hotrange.DefaultLimits)
+	assert.Assert(t, len(plan) <= 1)
+	l.Add(-1, 1, window)
+	l.Add(keyrange.MaxKey+1, 1, window) // out of range: passed over
+	l.Decay(100, window)
+}
