entry: a host that ends refuses what waits; hosts leave a silent store to the coordinator; soak

Hosts now leave it to the coordinator while that relays, and are staggered by their number.

The soak (cmd/mangopost-entry) plays series of faults against real processes.

--- a/admission/pool/pool.go
+++ b/admission/pool/pool.go
@@ -90,6 +90,8 @@
 	Full Reason = "full"
 	// Late: its time ran out while it waited.
 	Late Reason = "late"
+	// Stopping: this host is about to end.
+	Stopping Reason = "stopping"
 	// Urgent: a more urgent request took its place.
 	Urgent Reason = "displaced"
 )
@@ -134,6 +136,8 @@
 	owners  *keyrange.Map
 	waiting []Request // by priority, then arrival
 	service estimate  // time of a request over all targets
+
+	draining bool
 }
 
 // New returns a pool without targets.
@@ -229,6 +233,18 @@
 // Waiting returns the number of requests that wait.
 func (p *Pool) Waiting() int { return len(p.waiting) }
 
+// Drain refuses every request that waits, and from now on those that would wait:
+// the host is about to end.
+func (p *Pool) Drain(now time.Duration) []Action {
+	p.draining = true
+	var actions []Action
+	for _, r := range p.waiting {
+		actions = append(actions, p.refuse(now, r, Stopping, minRetryAfter))
+	}
+	p.waiting = nil
+	return actions
+}
+
 // Arrive decides on a request. No action for its ID means that it waits.
 func (p *Pool) Arrive(now time.Duration, r Request) []Action {
 	if now >= r.NotUntil {
@@ -236,6 +252,9 @@
 			return []Action{p.start(now, t, fence, r)}
 		}
 	}
+	if p.draining {
+		return []Action{p.refuse(now, r, Stopping, minRetryAfter)}
+	}
 	if a, refused := p.refuseOnArrival(now, r); refused {
 		return []Action{a}
 	}
--- /dev/null
+++ b/cmd/mangopost-entry/soak_world_test.go
@@ -0,0 +1,265 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	links "github.com/mangopost/mangopost/internal/standin"
+	"github.com/mangopost/mangopost/platform/standin"
+)
+
+// childVariable makes the test binary be the program.
+const childVariable = "MANGOPOST_ENTRY_CHILD"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(childVariable) != "" {
+		os.Args = []string{os.Args[0], "--metrics-port", "0"}
+		os.Exit(run())
+	}
+	os.Exit(m.Run())
+}
+
+const (
+	keyedService = "keyed"
+	plainService = "plain"
+	soakHosts    = 3
+	// soakDrain is the bound within which a leaving target gets no new work.
+	soakDrain = 2500 * time.Millisecond
+	// soakTouch is how long faults must be over for the bounds in time to hold.
+	soakTouch = 4 * time.Second
+)
+
+// soakHost is one process and its link to the store.
+type soakHost struct {
+	name                      string
+	ports                     [3]int // callers, readiness, peers
+	link                      *links.Link
+	settings                  string
+	log                       *os.File
+	mu                        sync.Mutex
+	cmd                       *exec.Cmd
+	up                        bool
+	lifetime                  int
+	callersURL, readinessPath string
+}
+
+// soakWorld is a system under faults.
+type soakWorld struct {
+	t         *testing.T
+	rand      *rand.Rand
+	store     *standin.Store
+	fault     atomic.Int64 // standin.Fault of the store
+	judge     *standin.Judge
+	behaviour standin.Behaviour
+	hosts     []*soakHost
+
+	mu       sync.Mutex
+	targets  []*standin.Target
+	born     int64
+	version  int
+	troubled time.Time // when the last fault ended
+	calls    []*soakCall
+	notes    []string
+}
+
+func newSoakWorld(t *testing.T, seed uint64) *soakWorld {
+	w := &soakWorld{
+		t: t, rand: rand.New(rand.NewPCG(seed, 1)), store: standin.NewStore(), judge: standin.NewJudge(),
+		born: time.Now().UnixMilli(), version: 1,
+	}
+	w.store.Fault = func(*http.Request) standin.Fault { return standin.Fault(w.fault.Load()) }
+	server := httptest.NewServer(w.store)
+	t.Cleanup(server.Close)
+	w.configure()
+	for i := range 4 {
+		w.startTarget(keyedService, fmt.Sprintf("k%d", i))
+	}
+	for i := range 3 {
+		w.startTarget(plainService, fmt.Sprintf("p%d", i))
+	}
+	for i := range soakHosts {
+		w.addHost(i, server.Listener.Addr().String())
+	}
+	return w
+}
+
+// configure writes the configuration with a route more than the one before.
+func (w *soakWorld) configure() {
+	w.mu.Lock()
+	version := w.version
+	w.version++
+	w.mu.Unlock()
+	route := func(name, service, kind string) map[string]any {
+		return map[string]any{
+			"name": name, "host": "soak.example", "pathPrefix": "/" + name + "/", "kind": kind, "service": service,
+			"timeoutMs": 1500, "targetLatencyMs": 400, "priority": 1, "maxAttempts": 2,
+		}
+	}
+	routes := []any{
+		route("search", keyedService, "safe"), route("order", keyedService, "unsafe"), route("charge", plainService, "unsafe"),
+	}
+	for i := range version {
+		routes = append(routes, route(fmt.Sprintf("v%d", i), plainService, "safe"))
+	}
+	w.store.Set("config/main", map[string]any{
+		"version": fmt.Sprintf("%08x", version), "routes": routes,
+		"services": []any{
+			map[string]any{"name": keyedService, "maxConns": 100, "sharded": true, "warmS": 0.1},
+			map[string]any{"name": plainService, "maxConns": 100},
+		},
+		"limits": map[string]any{"maxBodyBytes": 1 << 20},
+	})
+}
+
+func (w *soakWorld) startTarget(service, name string) {
+	w.mu.Lock()
+	w.born++
+	t := &standin.Target{
+		Name: name, Service: service, Zone: "here", Slots: 4, Work: 20 * time.Millisecond, Born: w.born,
+		Keyed: service == keyedService, Behaviour: &w.behaviour,
+	}
+	w.mu.Unlock()
+	started, err := standin.StartTarget(w.store, w.judge, t)
+	if err != nil {
+		w.t.Errorf("target %s: %v", name, err)
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.targets = append(w.targets, started)
+}
+
+// freePorts returns ports of loopback that were free a moment ago.
+func freePorts(t *testing.T) (ports [3]int) {
+	t.Helper()
+	for i := range ports {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		defer l.Close()
+		ports[i] = l.Addr().(*net.TCPAddr).Port
+	}
+	return ports
+}
+
+func (w *soakWorld) addHost(i int, store string) {
+	link, err := links.NewLink("store", "127.0.0.1:0", store)
+	assert.NilError(w.t, err)
+	w.t.Cleanup(link.Close)
+	h := &soakHost{name: fmt.Sprintf("host-%d", i), ports: freePorts(w.t), link: link}
+	h.callersURL = fmt.Sprintf("http://127.0.0.1:%d", h.ports[0])
+	h.readinessPath = fmt.Sprintf("http://127.0.0.1:%d/api/ready", h.ports[1])
+	dir := w.t.TempDir()
+	h.settings = filepath.Join(dir, "node.conf")
+	lines := []string{
+		"self.node=" + h.name, "self.zone=here", "self.region=r", "self.ip=127.0.0.1",
+		fmt.Sprintf("network.listen.front=127.0.0.1:%d", h.ports[0]),
+		fmt.Sprintf("network.listen.ready=127.0.0.1:%d", h.ports[1]),
+		fmt.Sprintf("network.internalPorts=%d,%d", h.ports[2], h.ports[2]),
+		"network.zones.here=r", "platform.heartbeatMs=300", "platform.platform.address=" + link.Addr(),
+	}
+	assert.NilError(w.t, os.WriteFile(h.settings, []byte(strings.Join(lines, "\n")), 0o600))
+	h.log, err = os.Create(filepath.Join(dir, "log"))
+	assert.NilError(w.t, err)
+	w.hosts = append(w.hosts, h)
+	w.t.Cleanup(func() { h.stop(syscall.SIGKILL) })
+	assert.NilError(w.t, h.start())
+}
+
+func (h *soakHost) start() error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.cmd = exec.Command(os.Args[0])
+	h.cmd.Env = append(os.Environ(), childVariable+"=1", "MANGOPOST_CONFIG="+h.settings)
+	h.cmd.Stdout, h.cmd.Stderr = h.log, h.log
+	h.up = true
+	h.lifetime++
+	return h.cmd.Start()
+}
+
+// stop sends a signal that ends the process and waits for its end.
+func (h *soakHost) stop(sig syscall.Signal) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.up {
+		return
+	}
+	h.up = false
+	_ = h.cmd.Process.Signal(syscall.SIGCONT)
+	_ = h.cmd.Process.Signal(sig) // it may have ended
+	_ = h.cmd.Wait()              // killed
+}
+
+func (h *soakHost) signal(sig syscall.Signal) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.up {
+		_ = h.cmd.Process.Signal(sig) // it may have ended
+	}
+}
+
+func (h *soakHost) ready() bool {
+	client := http.Client{Timeout: 500 * time.Millisecond}
+	resp, err := client.Get(h.readinessPath)
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// soakCall is one request and what came of it.
+type soakCall struct {
+	id, kind, path string
+	sent           time.Time
+	status         int // 0: no whole answer
+	body           string
+	lifetime       int
+	host           *soakHost
+}
+
+// call sends one request. Callers keep connections open.
+func (w *soakWorld) call(client *http.Client, h *soakHost, id, kind string, key int) {
+	c := &soakCall{id: id, kind: kind, path: "/" + kind + "/" + id, sent: time.Now(), host: h}
+	h.mu.Lock()
+	c.lifetime = h.lifetime
+	h.mu.Unlock()
+	method, body := http.MethodPost, "body-"+id
+	if kind == "search" || strings.HasPrefix(kind, "v") {
+		method, body = http.MethodGet, ""
+	}
+	req, err := http.NewRequest(method, h.callersURL+c.path, strings.NewReader(body))
+	if err != nil {
+		w.t.Error(err)
+		return
+	}
+	req.Host = "soak.example"
+	req.Header.Set("Attempt-Id", id)
+	req.Header.Set("Deadline-Ms", "1500")
+	req.Header.Set("Shard-Key", fmt.Sprint(key))
+	resp, err := client.Do(req)
+	if err == nil {
+		data, err := io.ReadAll(resp.Body)
+		_ = resp.Body.Close()
+		if err == nil {
+			c.status, c.body = resp.StatusCode, string(data)
+		}
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.calls = append(w.calls, c)
+}
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -42,6 +42,9 @@
 	// firstRelay is how long after its start a host waits for the coordinator
 	// before it asks the store for everything: an election and a report.
 	firstRelay = 1200 * time.Millisecond
+	// storePause is how long after a call without an answer a host does not ask
+	// again while the coordinator relays what it has.
+	storePause = 1500 * time.Millisecond
 	// relayCheck is how often a host looks whether it is still relayed to.
 	relayCheck = 150 * time.Millisecond
 	// ownersPause lets changes of owners that follow each other closely gather.
@@ -93,6 +96,10 @@
 			sleep(ctx, relayCheck)
 			continue
 		}
+		if f.leaveToCoordinator() {
+			sleep(ctx, relayCheck)
+			continue
+		}
 		if !direct && f.relist {
 			f.unlist()
 		}
@@ -108,6 +115,7 @@
 				f.n.log.Emit(evStoreLost, "kind", f.prefix, "error", err.Error())
 			}
 			lost = true
+			f.n.storeFailed.Store(int64(steady()))
 			sleep(ctx, followRetry)
 		default:
 			if lost {
@@ -138,6 +146,19 @@
 	return f.listed && f.relayed > 0 && now-f.relayed < relayKeep && now-f.answered < relayAge
 }
 
+// leaveToCoordinator reports whether this host has just asked a store that does
+// not answer, and the coordinator will tell when it does.
+func (f *feed) leaveToCoordinator() bool {
+	if f.n.office.holds() {
+		return false
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := steady()
+	failed := time.Duration(f.n.storeFailed.Load())
+	return f.listed && f.relayed > 0 && now-f.relayed < relayKeep && failed > 0 && now-failed < storePause
+}
+
 func (f *feed) unlist() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -56,6 +56,8 @@
 	hosts    atomic.Int64 // that report to the coordinator
 	heard    atomic.Int64 // last answer of the store, by steady
 
+	storeFailed atomic.Int64 // last call to the store without an answer, by steady
+
 	mu        sync.Mutex
 	services  map[string]*service
 	splitter  *routing.Splitter
--- a/internal/entry/office.go
+++ b/internal/entry/office.go
@@ -44,27 +44,37 @@
 func newOffice(n *Node) *office {
 	s := n.settings.Load()
 	self := coordinator.Record{Holder: s.Host, Run: time.Now().UnixNano(), Addr: s.Peers.String()}
-	timing := coordinator.DefaultTiming
-	timing.Margin += stagger(s)
-	return &office{
-		n: n, run0: self.Run, election: coordinator.New(self, timing), demand: demand.NewTable(reportKeep),
+	o := &office{
+		n: n, run0: self.Run, election: coordinator.New(self, coordinator.DefaultTiming), demand: demand.NewTable(reportKeep),
 	}
+	o.election.SetStagger(stagger(s, assumedHosts))
+	return o
 }
 
 const (
 	// slowStagger is how much later than the fastest a host without processor time
 	// to spare tries to become the coordinator: the role is for hosts with room.
 	slowStagger = 400 * time.Millisecond
-	// hashStagger spreads hosts that are alike, of which only one can succeed.
-	hashStagger = 200 * time.Millisecond
+	// hostStagger is the mean distance between two hosts that try to become the
+	// coordinator, of which only one can succeed: about the time of a write.
+	hostStagger = 50 * time.Millisecond
 	// fastCores is the share of a core from which on a host counts as fast.
 	fastCores = 0.8
 )
 
-// stagger returns how long after the first a host tries to become coordinator.
-func stagger(s *platform.Settings) time.Duration {
+// stagger returns how long after the first of a number of hosts this one tries to
+// become the coordinator.
+func stagger(s *platform.Settings, hosts int64) time.Duration {
 	slow := 1 - min(1, s.Cores/fastCores)
-	return time.Duration(slow*float64(slowStagger)) + time.Duration(xxhash.Sum64String(s.Host)%uint64(hashStagger))
+	place := float64(xxhash.Sum64String(s.Host)%1000) / 1000
+	return time.Duration(slow*float64(slowStagger)) + time.Duration(place*float64(hosts)*float64(hostStagger))
+}
+
+// setHosts takes in the number of hosts.
+func (o *office) setHosts(hosts int64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.election.SetStagger(stagger(o.n.settings.Load(), hosts))
 }
 
 // take takes a host's report in and returns what to tell it.
@@ -129,9 +139,12 @@
 	return o.election.Holder()
 }
 
+// maxFirst bounds the wait of a host that starts.
+const maxFirst = 600 * time.Millisecond
+
 // run takes, renews and uses the lease until ctx ends.
 func (o *office) run(ctx context.Context) error {
-	sleep(ctx, stagger(o.n.settings.Load()))
+	sleep(ctx, min(maxFirst, stagger(o.n.settings.Load(), assumedHosts)))
 	for sleep(ctx, electionEvery) {
 		o.mu.Lock()
 		now := leaseClock()
--- a/internal/entry/reports.go
+++ b/internal/entry/reports.go
@@ -148,6 +148,7 @@
 // nothing is known.
 func (n *Node) setShares(shares map[string]demand.Shares, hosts int) {
 	if hosts > 0 && n.hosts.Swap(int64(hosts)) != int64(hosts) {
+		n.office.setHosts(int64(hosts))
 		n.mu.Lock()
 		n.targetsChanged()
 		n.mu.Unlock()
--- a/internal/entry/servers.go
+++ b/internal/entry/servers.go
@@ -65,6 +65,8 @@
 	n.stopping.Store(true)
 	n.log.Emit(evStopping, "in_flight", n.inFlight.Load(), "stop_ms", ms(s.Bounds.Stop))
 	time.Sleep(drainLinger)
+	drain := time.AfterFunc(s.Bounds.Stop-drainLinger-drainEnd, n.drainServices)
+	defer drain.Stop()
 	ended, cancel := context.WithTimeout(context.WithoutCancel(ctx), s.Bounds.Stop-drainLinger-drainEnd/2)
 	defer cancel()
 	if err := server.Shutdown(ended); err != nil {
@@ -73,7 +75,14 @@
 	return nil
 }
 
-// serveUntil serves until the process is about to end, which is after callers
+// drainServices refuses every request that waits for a target.
+func (n *Node) drainServices() {
+	for _, s := range n.allServices() {
+		s.drain()
+	}
+}
+
+// serve serves until the process is about to end, which is after callers
 // were drained.
 func (n *Node) serve(ctx context.Context, addr string, handler http.Handler) error {
 	listener, err := listen(ctx, addr)
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -103,6 +103,13 @@
 	s.keepTicking()
 }
 
+// drain refuses what waits: this host is about to end.
+func (s *service) drain() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.act(s.pool.Drain(steady()))
+}
+
 func (s *service) finish(owner keyrange.Owner, took time.Duration, result pool.Result) {
 	s.change(func(p *pool.Pool) { p.Finish(steady(), owner, took, result) })
 }
--- a/lease/coordinator/coordinator.go
+++ b/lease/coordinator/coordinator.go
@@ -47,6 +47,7 @@
 	holds   bool
 	pending bool
 	nextTry time.Duration
+	stagger time.Duration
 }
 
 // New returns the view of a host that knows nothing.
@@ -89,7 +90,7 @@
 	switch {
 	case mine && now < e.sentAt+e.timing.Renew:
 		return Write{}, false
-	case !mine && e.version != 0 && !e.predecessor() && now < e.seenAt+e.timing.Term+e.timing.Margin:
+	case !mine && e.version != 0 && !e.predecessor() && now < e.seenAt+e.timing.Term+e.timing.Margin+e.stagger:
 		return Write{}, false
 	}
 	e.pending = true
@@ -119,5 +120,12 @@
 // be read before the next one.
 func (e *Election) Failed(now time.Duration) {
 	e.pending = false
-	e.nextTry = now + e.timing.Renew/4
+	e.nextTry = now + e.timing.Renew/4 + e.stagger
+	if e.holds {
+		e.nextTry = now + e.timing.Renew/4
+	}
 }
+
+// SetStagger sets how much longer than it must this host waits before it takes
+// the role, and before it tries again: of many hosts one is to be first.
+func (e *Election) SetStagger(d time.Duration) { e.stagger = d }
