entry: a release waits for renewals under way; refused connections alone prove no end

A grant is not begun for a range that is no longer in the map, and a release waits until those under way are answered or reset. The tests in internal/entry/granting_test.go fail without either.

Found by the soak: SIGHUP ended a process that had just started; the handler comes first now.

--- a/cmd/mangopost-entry/main.go
+++ b/cmd/mangopost-entry/main.go
@@ -37,6 +37,10 @@
 func main() { os.Exit(run()) }
 
 func run() int {
+	// Before anything else: without a handler each of these ends the process.
+	signal.Ignore(syscall.SIGPIPE) // a closed log must not
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
 	var opts options
 	if _, err := flags.Parse(&opts); err != nil {
 		if flags.WroteHelp(err) {
@@ -53,7 +57,7 @@
 		fmt.Println("settings are good")
 		return daemon.ExitOK
 	}
-	return serve(settings, opts.MetricsPort)
+	return serve(settings, opts.MetricsPort, hangups)
 }
 
 func printFindings(err error) {
@@ -65,14 +69,13 @@
 	fmt.Fprintf(os.Stderr, "%v (the variable %s names the settings file)\n", err, platform.SettingsVariable)
 }
 
-func serve(s *platform.Settings, metricsPort uint16) int {
+func serve(s *platform.Settings, metricsPort uint16, hangups <-chan os.Signal) int {
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.Memory)))
 	logger := kernel.NewJSONLogger("entry", hclog.Info, os.Stdout)
-	signal.Ignore(syscall.SIGPIPE) // a closed log must not end the process
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	if err := entry.New(s, metricsPort, logger).Run(ctx); err != nil {
+	if err := entry.New(s, metricsPort, hangups, logger).Run(ctx); err != nil {
 		logger.Error("ended", "error", err)
 		return daemon.ExitFailed
 	}
--- a/cmd/mangopost-entry/soak_test.go
+++ b/cmd/mangopost-entry/soak_test.go
@@ -291,6 +291,9 @@
 	for _, fault := range w.judge.Faults() {
 		w.t.Errorf("two owners: %s", fault)
 	}
+	for _, h := range w.hosts {
+		assert.Check(w.t, len(h.ownExits) == 0, "%s ended by itself: %v", h.name, h.ownExits)
+	}
 	served := 0
 	for _, c := range w.callsNow() {
 		runs := w.judge.Runs(c.id)
--- a/cmd/mangopost-entry/soak_world_test.go
+++ b/cmd/mangopost-entry/soak_world_test.go
@@ -54,7 +54,9 @@
 	mu                        sync.Mutex
 	cmd                       *exec.Cmd
 	up                        bool
+	ended                     chan struct{} // closed when the process has ended
 	lifetime                  int
+	ownExits                  []string // of processes that ended by themselves
 	callersURL, readinessPath string
 }
 
@@ -144,14 +146,27 @@
 	w.targets = append(w.targets, started)
 }
 
-// freePorts returns ports of loopback that were free a moment ago.
+const (
+	// firstPort and portCount lie below the ports that the kernel gives to
+	// outgoing connections: one of those must not take the port of a host that is
+	// being restarted.
+	firstPort = 20000
+	portCount = 10000
+)
+
+// freePorts returns ports of loopback on which nothing listens.
 func freePorts(t *testing.T) (ports [3]int) {
 	t.Helper()
 	for i := range ports {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		assert.NilError(t, err)
-		defer l.Close()
-		ports[i] = l.Addr().(*net.TCPAddr).Port
+		for ports[i] == 0 {
+			port := firstPort + rand.IntN(portCount)
+			l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+			if err != nil {
+				continue
+			}
+			defer l.Close()
+			ports[i] = port
+		}
 	}
 	return ports
 }
@@ -186,22 +201,46 @@
 	h.cmd = exec.Command(os.Args[0])
 	h.cmd.Env = append(os.Environ(), childVariable+"=1", "MANGOPOST_CONFIG="+h.settings)
 	h.cmd.Stdout, h.cmd.Stderr = h.log, h.log
-	h.up = true
+	if err := h.cmd.Start(); err != nil {
+		return err
+	}
+	h.up, h.ended = true, make(chan struct{})
 	h.lifetime++
-	return h.cmd.Start()
+	go h.wait(h.cmd, h.ended)
+	// A signal that comes before the runtime has taken signals over has its usual
+	// effect: no program can change that.
+	time.Sleep(signalGrace)
+	return nil
+}
+
+// signalGrace is how long a process needs to take signals over.
+const signalGrace = 300 * time.Millisecond
+
+// wait notes a process that ends by itself.
+func (h *soakHost) wait(cmd *exec.Cmd, ended chan struct{}) {
+	err := cmd.Wait()
+	close(ended)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.up && h.cmd == cmd {
+		h.ownExits = append(h.ownExits, fmt.Sprint(err))
+		h.up = false
+	}
 }
 
 // stop sends a signal that ends the process and waits for its end.
 func (h *soakHost) stop(sig syscall.Signal) {
 	h.mu.Lock()
-	defer h.mu.Unlock()
 	if !h.up {
+		h.mu.Unlock()
 		return
 	}
 	h.up = false
 	_ = h.cmd.Process.Signal(syscall.SIGCONT)
 	_ = h.cmd.Process.Signal(sig) // it may have ended
-	_ = h.cmd.Wait()              // killed
+	ended := h.ended
+	h.mu.Unlock()
+	<-ended
 }
 
 func (h *soakHost) signal(sig syscall.Signal) {
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -22,8 +22,6 @@
 	// stays under the bound within which a configuration is in force, as a watch
 	// may hang on a connection that fell silent.
 	watchWait = 1100 * time.Millisecond
-	// followRetry is the pause after a failed call.
-	followRetry = 150 * time.Millisecond
 	// callTime is added to a watch's wait for its way and answer.
 	callTime = 900 * time.Millisecond
 	// targetPause lets heartbeats of targets gather between two calls: a fifth of
@@ -96,8 +94,8 @@
 			sleep(ctx, relayCheck)
 			continue
 		}
-		if f.leaveToCoordinator() {
-			sleep(ctx, relayCheck)
+		if f.leaveToCoordinator() || f.n.gate.wait(steady()) > 0 {
+			sleep(ctx, min(relayCheck, max(gateFirst/4, f.n.gate.wait(steady()))))
 			continue
 		}
 		if !direct && f.relist {
@@ -116,8 +114,9 @@
 			}
 			lost = true
 			f.n.storeFailed.Store(int64(steady()))
-			sleep(ctx, followRetry)
+			f.n.gate.failed(steady())
 		default:
+			f.n.gate.answered()
 			if lost {
 				f.n.log.Emit(evStoreBack, "kind", f.prefix)
 				lost = false
--- a/internal/entry/granting.go
+++ b/internal/entry/granting.go
@@ -16,6 +16,8 @@
 	releaseTimeout = 2500 * time.Millisecond
 	// moveRetryEvery is the pause between two tries of an order of a move.
 	moveRetryEvery = 150 * time.Millisecond
+	// underWayCheck is how often a release looks whether grants before it arrived.
+	underWayCheck = 10 * time.Millisecond
 	// silentBeats is the number of heartbeats that a target which refuses
 	// connections must have missed to count as down.
 	silentBeats = 1.5
@@ -30,6 +32,12 @@
 		t.n.log.Emit(evLongGrants, "service", service, "from", r.From, "to", r.To, "target", r.Owner.Target, "hold_ms", ms(holdFor))
 	}
 	t.mu.Lock()
+	if !t.currentLocked(service, r) {
+		// The range was split, moved or merged since: a grant of it now could
+		// arrive after the owner has released a part.
+		t.mu.Unlock()
+		return false
+	}
 	s.renewed = leaseClock()
 	order := wire.Order{
 		Target: r.Owner.Target, Addr: r.Owner.Addr, From: r.From, To: r.To, Fence: r.Fence, Hold: holdFor, Handover: s.handover,
@@ -69,6 +77,17 @@
 	}
 	if refused(err) {
 		t.refusedBy(r.Owner)
+		t.askSoon(service, r)
+	}
+}
+
+// askSoon makes the next grant of a range due shortly: whether its owner has ended
+// is to be known soon.
+func (t *term) askSoon(service string, r keyrange.Range) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s := t.known[rangeKey{service, r.From, r.Fence}]; s != nil {
+		s.renewed = leaseClock() - renewEvery + moveRetryEvery
 	}
 }
 
@@ -76,32 +95,34 @@
 func (t *term) reached(owner keyrange.Owner) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	delete(t.down, owner)
+	if !t.down[owner].ended {
+		delete(t.down, owner)
+	}
 }
 
-// refusedBy notes that a target refused a connection.
+// refusedBy notes that a target refused a connection. It counts as ended when it
+// refused several in a row while it announced itself as staying and wrote no
+// heartbeat to a store that answers. A leaving target, or one whose entry is gone,
+// may refuse connections and still work on what it holds.
 func (t *term) refusedBy(owner keyrange.Owner) {
+	e, silent, ok := t.entryOf(owner)
 	t.mu.Lock()
-	t.down[owner]++
-	count := t.down[owner]
-	t.mu.Unlock()
-	if count == refusals && t.isDown(owner) {
-		t.n.log.Emit(evTargetDown, "target", owner.Target, "run", owner.Run, "refusals", count)
+	defer t.mu.Unlock()
+	d := t.down[owner]
+	d.count++
+	limit := time.Duration(silentBeats * float64(t.n.settings.Load().Heartbeat))
+	if !d.ended && d.count >= refusals && ok && !e.Leaving && silent > limit {
+		d.ended = true
+		t.n.log.Emit(evTargetDown, "target", owner.Target, "run", owner.Run, "refusals", d.count, "silent_ms", ms(silent))
 	}
+	t.down[owner] = d
 }
 
-// isDown reports whether a target has ended: it refused several connections in a
-// row, and wrote no heartbeat to a store that answers. A refused connection alone
-// may be one too many.
+// isDown reports whether a target was proved to have ended.
 func (t *term) isDown(owner keyrange.Owner) bool {
 	t.mu.Lock()
-	count := t.down[owner]
-	t.mu.Unlock()
-	if count < refusals {
-		return false
-	}
-	_, silent, ok := t.entryOf(owner)
-	return !ok || silent > time.Duration(silentBeats*float64(t.n.settings.Load().Heartbeat))
+	defer t.mu.Unlock()
+	return t.down[owner].ended
 }
 
 // move ends the grants of a range's earlier owners, grants it to the new one, and
@@ -129,6 +150,13 @@
 		if t.ended(prev) {
 			return true
 		}
+		if t.underWay(prev) {
+			// A grant that arrives after the release would undo it.
+			if !sleep(t.ctx, underWayCheck) {
+				return false
+			}
+			continue
+		}
 		handover, err := t.release(r, prev)
 		if err == nil {
 			t.mu.Lock()
@@ -147,6 +175,15 @@
 	return false
 }
 
+// underWay reports whether a grant to an earlier owner is neither answered nor
+// reset.
+func (t *term) underWay(prev keyrange.Previous) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	_, settled := t.ledger.EndOf(prev.Owner, prev.Fence)
+	return !settled
+}
+
 // ended reports whether an earlier owner can hold nothing any more: it ended, or
 // all its grants did.
 func (t *term) ended(prev keyrange.Previous) bool {
@@ -186,8 +223,13 @@
 
 // current reports whether the map still has the range with this fence.
 func (t *term) current(service string, r keyrange.Range) bool {
-	t.saving.Lock()
-	defer t.saving.Unlock()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.currentLocked(service, r)
+}
+
+// currentLocked is current with mu held.
+func (t *term) currentLocked(service string, r keyrange.Range) bool {
 	owned := t.maps[service]
 	if owned == nil || owned.keys == nil {
 		return false
@@ -203,7 +245,7 @@
 	t.mu.Unlock()
 	t.saving.Lock()
 	defer t.saving.Unlock()
-	owned := t.maps[service]
+	owned := t.owned(service)
 	if owned == nil || owned.keys == nil {
 		return
 	}
--- /dev/null
+++ b/internal/entry/granting_test.go
@@ -0,0 +1,135 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"net/netip"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"gotest.tools/v3/assert"
+
+	"github.com/mangopost/mangopost/lease/coordinator"
+	"github.com/mangopost/mangopost/membership/directory"
+	"github.com/mangopost/mangopost/ownership/keyrange"
+	"github.com/mangopost/mangopost/platform"
+)
+
+// fakeOrders hands each order to the test and waits for its answer.
+type fakeOrders struct {
+	sent    chan platform.Order // release: Hold is 0
+	answers chan error
+}
+
+func (f *fakeOrders) Grant(_ context.Context, o platform.Order) error {
+	f.sent <- o
+	return <-f.answers
+}
+
+func (f *fakeOrders) Release(_ context.Context, o platform.Order) (string, error) {
+	o.Hold = 0
+	f.sent <- o
+	return "h", <-f.answers
+}
+
+var (
+	ownerA = keyrange.Owner{Target: "a", Run: 1, Addr: "127.0.0.1:1"}
+	ownerB = keyrange.Owner{Target: "b", Run: 1, Addr: "127.0.0.1:2"}
+)
+
+// newTestTerm returns a term of a host that holds the lease, with one range of
+// ownerA in force.
+func newTestTerm(t *testing.T) (*term, *fakeOrders) {
+	t.Helper()
+	addr := netip.MustParseAddrPort("127.0.0.1:9")
+	s := &platform.Settings{Host: "h", IP: addr.Addr(), Store: addr, Peers: addr, Heartbeat: time.Second}
+	n := New(s, 0, nil, hclog.New(&hclog.LoggerOptions{Output: io.Discard}))
+	n.office.election.Observe(leaseClock(), 0, coordinator.Record{})
+	w, due := n.office.election.Next(leaseClock())
+	assert.Assert(t, due)
+	n.office.election.Acknowledged(leaseClock(), leaseClock()+time.Hour, 1, w)
+	tm := newTerm(t.Context(), n.office)
+	fake := &fakeOrders{sent: make(chan platform.Order), answers: make(chan error)}
+	tm.orders = fake
+	tm.setOwned("s", &ownedMap{keys: keyrange.New("s", []keyrange.Owner{ownerA}, []float64{1}), version: 1})
+	return tm, fake
+}
+
+// A renewal is under way while a part of its range is given to another owner.
+// The release must wait for it: a grant that arrived after the release would
+// make two owners. Found on pinjam-antara-grown, trouble-3, at 50.5 s.
+func TestAReleaseWaitsForTheRenewalUnderWay(t *testing.T) {
+	tm, fake := newTestTerm(t)
+	whole := tm.owned("s").keys.Ranges[0]
+	state, mine := tm.begin("s", whole)
+	assert.Assert(t, mine)
+	go tm.grant("s", whole, state)
+	renewal := <-fake.sent
+	assert.Assert(t, renewal.Hold > 0)
+
+	next := tm.owned("s").keys.Clone()
+	next.Assign(100, 200, ownerB)
+	tm.setOwned("s", &ownedMap{keys: next, version: 2})
+	moved := next.Ranges[next.At(100)]
+	movedState, _ := tm.begin("s", moved)
+	go tm.move("s", moved, movedState)
+	select {
+	case o := <-fake.sent:
+		t.Fatalf("sent while the renewal is under way: %+v", o)
+	case <-time.After(5 * underWayCheck):
+	}
+	fake.answers <- nil
+	release := <-fake.sent
+	assert.Equal(t, release.Hold, time.Duration(0))
+	assert.Equal(t, release.Target, "a")
+	fake.answers <- nil
+	grant := <-fake.sent
+	assert.Equal(t, grant.Target, "b")
+	assert.Equal(t, grant.Handover, "h")
+	tm.end()
+	fake.answers <- context.Canceled
+}
+
+// A renewal that has not begun when its range is split is not sent any more.
+func TestARangeThatWasSplitIsNotRenewed(t *testing.T) {
+	tm, _ := newTestTerm(t)
+	whole := tm.owned("s").keys.Ranges[0]
+	next := tm.owned("s").keys.Clone()
+	next.Assign(100, 200, ownerB)
+	tm.setOwned("s", &ownedMap{keys: next, version: 2})
+	state, _ := tm.begin("s", whole)
+	assert.Assert(t, !tm.grant("s", whole, state))
+}
+
+// A leaving target refuses connections and still works on what it holds. Found
+// on pinjam-antara-grown, trouble-3, at 29.0 s.
+func TestARefusedConnectionAloneDoesNotProveAnEnd(t *testing.T) {
+	for name, c := range map[string]struct {
+		entry directory.Entry
+		gone  bool
+		ended bool
+	}{
+		"stays, silent":   {entry: directory.Entry{Name: "a", Run: 1, Service: "s"}, ended: true},
+		"leaving, silent": {entry: directory.Entry{Name: "a", Run: 1, Service: "s", Leaving: true}},
+		"entry gone":      {gone: true},
+		"restarted":       {entry: directory.Entry{Name: "a", Run: 2, Service: "s"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			tm, _ := newTestTerm(t)
+			d := tm.n.directory
+			d.Heard(0)
+			if !c.gone {
+				d.Put(0, c.entry)
+			}
+			d.Heard(10 * time.Second)
+			for range refusals {
+				tm.refusedBy(ownerA)
+			}
+			assert.Equal(t, tm.isDown(ownerA), c.ended)
+		})
+	}
+	assert.Assert(t, refused(syscall.ECONNREFUSED))
+	assert.Assert(t, !refused(syscall.ECONNRESET), "a cap resets")
+}
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"net/netip"
+	"os"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -42,6 +43,7 @@
 // Node is one entry process.
 type Node struct {
 	settings atomic.Pointer[platform.Settings]
+	hangups  <-chan os.Signal
 	metrics  netip.AddrPort
 	log      *kernel.EventLog
 	store    *platform.Store
@@ -56,6 +58,7 @@
 	hosts    atomic.Int64 // that report to the coordinator
 	heard    atomic.Int64 // last answer of the store, by steady
 
+	gate        storeGate
 	storeFailed atomic.Int64 // last call to the store without an answer, by steady
 
 	mu        sync.Mutex
@@ -69,9 +72,11 @@
 	feeds  []*feed
 }
 
-// New returns a process that is not running yet.
-func New(s *platform.Settings, metricsPort uint16, logger hclog.Logger) *Node {
+// New returns a process that is not running yet. hangups tells when the settings
+// have changed.
+func New(s *platform.Settings, metricsPort uint16, hangups <-chan os.Signal, logger hclog.Logger) *Node {
 	n := &Node{
+		hangups:  hangups,
 		metrics:  netip.AddrPortFrom(s.IP, metricsPort),
 		log:      kernel.NewEventLog(logger),
 		store:    platform.NewStore(s.Store.String()),
--- a/internal/entry/office.go
+++ b/internal/entry/office.go
@@ -47,38 +47,36 @@
 	o := &office{
 		n: n, run0: self.Run, election: coordinator.New(self, coordinator.DefaultTiming), demand: demand.NewTable(reportKeep),
 	}
-	o.election.SetStagger(stagger(s, assumedHosts))
+	o.election.SetStagger(stagger(s, demand.Hosts{Count: assumedHosts}))
 	return o
 }
 
 const (
 	// slowStagger is how much later than the fastest a host without processor time
-	// to spare tries to become the coordinator: the role is for hosts with room.
-	slowStagger = 400 * time.Millisecond
+	// tries to become the coordinator: the role is for hosts with room.
+	slowStagger = 3 * time.Second
 	// hostStagger is the mean distance between two hosts that try to become the
 	// coordinator, of which only one can succeed: about the time of a write.
 	hostStagger = 50 * time.Millisecond
-	// fastCores is the share of a core from which on a host counts as fast.
-	fastCores = 0.8
 )
 
-// stagger returns how long after the first of a number of hosts this one tries to
-// become the coordinator.
-func stagger(s *platform.Settings, hosts int64) time.Duration {
-	slow := 1 - min(1, s.Cores/fastCores)
+// stagger returns how long after the first of all hosts this one tries to become
+// the coordinator.
+func stagger(s *platform.Settings, hosts demand.Hosts) time.Duration {
+	slow := 1 - min(1, s.Cores/max(hosts.Cores, s.Cores))
 	place := float64(xxhash.Sum64String(s.Host)%1000) / 1000
-	return time.Duration(slow*float64(slowStagger)) + time.Duration(place*float64(hosts)*float64(hostStagger))
+	return time.Duration(slow*float64(slowStagger)) + time.Duration(place*float64(hosts.Count)*float64(hostStagger))
 }
 
-// setHosts takes in the number of hosts.
-func (o *office) setHosts(hosts int64) {
+// setHosts takes in what is known of all hosts.
+func (o *office) setHosts(hosts demand.Hosts) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.election.SetStagger(stagger(o.n.settings.Load(), hosts))
 }
 
 // take takes a host's report in and returns what to tell it.
-func (o *office) take(r demand.Report) (map[string]demand.Shares, int) {
+func (o *office) take(r demand.Report) (map[string]demand.Shares, demand.Hosts) {
 	slots := make(map[string]map[string]int)
 	for name := range r.Services {
 		slots[name] = o.n.slots(name)
@@ -124,6 +122,14 @@
 	return o.election.Holds(leaseClock())
 }
 
+// isHolder reports whether the record, as this host last saw it, names it: while
+// the store is away, the others still ask this host.
+func (o *office) isHolder() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.election.Holder().Run == o.run0
+}
+
 // longGrants reports whether the lease was not renewed for so long that the store
 // seems away.
 func (o *office) longGrants() bool {
@@ -139,12 +145,27 @@
 	return o.election.Holder()
 }
 
-// maxFirst bounds the wait of a host that starts.
-const maxFirst = 600 * time.Millisecond
+const (
+	// fastCores is the share of a core from which on a host counts as fast while
+	// nothing is known of the others.
+	fastCores = 0.8
+	// firstSlow and firstSpread order the first attempts of hosts that start
+	// together: fast ones come first.
+	firstSlow   = 600 * time.Millisecond
+	firstSpread = 300 * time.Millisecond
+)
+
+// firstStagger returns how long a host that starts waits before it may become the
+// coordinator.
+func firstStagger(s *platform.Settings) time.Duration {
+	slow := 1 - min(1, s.Cores/fastCores)
+	place := float64(xxhash.Sum64String(s.Host)%1000) / 1000
+	return time.Duration(slow*float64(firstSlow)) + time.Duration(place*float64(firstSpread))
+}
 
 // run takes, renews and uses the lease until ctx ends.
 func (o *office) run(ctx context.Context) error {
-	sleep(ctx, min(maxFirst, stagger(o.n.settings.Load(), assumedHosts)))
+	sleep(ctx, firstStagger(o.n.settings.Load()))
 	for sleep(ctx, electionEvery) {
 		o.mu.Lock()
 		now := leaseClock()
@@ -185,6 +206,9 @@
 	if err == nil {
 		return version, nil
 	}
+	if errors.Is(err, objects.ErrUnavailable) {
+		return 0, err // nothing was done
+	}
 	// The watch may be behind; an update without an answer may be done yet.
 	obj, readErr := o.n.store.Get(ctx, coordinatorObject)
 	if readErr == nil {
--- a/internal/entry/reportframe.go
+++ b/internal/entry/reportframe.go
@@ -21,7 +21,7 @@
 
 // frameOf encodes a report, with what this host knows of the feeds.
 func (n *Node) frameOf(r demand.Report) *pb.Frame {
-	out := &pb.Report{Host: r.Host}
+	out := &pb.Report{Host: r.Host, Cores: float32(r.Cores)}
 	for name, use := range r.Services {
 		if s := useFrame(name, use); len(s.Targets)+len(s.Keys) > 0 {
 			out.Services = append(out.Services, s)
@@ -63,7 +63,7 @@
 
 // reportOf decodes a report.
 func reportOf(in *pb.Report) demand.Report {
-	r := demand.Report{Host: in.Host, Services: make(map[string]demand.Use)}
+	r := demand.Report{Host: in.Host, Cores: float64(in.Cores), Services: make(map[string]demand.Use)}
 	for _, s := range in.Services {
 		use := demand.Use{
 			Keys: make(map[int]int), Running: make(map[string]int), Wanted: make(map[string]int), Seconds: make(map[string]float64),
@@ -86,8 +86,8 @@
 }
 
 // replyOf encodes what a host is told.
-func replyOf(shares map[string]demand.Shares, hosts int) *pb.ReportReply {
-	out := &pb.ReportReply{Hosts: uint32(hosts)}
+func replyOf(shares map[string]demand.Shares, hosts demand.Hosts) *pb.ReportReply {
+	out := &pb.ReportReply{Hosts: uint32(hosts.Count), Cores: float32(hosts.Cores)}
 	for name, s := range shares {
 		targets := make(map[string]*pb.TargetShare)
 		of := func(target string) *pb.TargetShare {
--- a/internal/entry/reports.go
+++ b/internal/entry/reports.go
@@ -54,11 +54,11 @@
 				n.log.Emit(evReportFailed, "coordinator", holder.Holder, "error", err.Error())
 			}
 			failing = true
-			n.setShares(nil, 0)
+			n.setShares(nil, demand.Hosts{})
 			continue
 		}
 		failing = false
-		n.setShares(sharesOf(reply), int(reply.Hosts))
+		n.setShares(sharesOf(reply), demand.Hosts{Count: int(reply.Hosts), Cores: float64(reply.Cores)})
 		n.takeRelays(reply.Relays)
 	}
 	return nil
@@ -121,7 +121,8 @@
 
 // makeReport sums up this host's work since the last report.
 func (n *Node) makeReport() demand.Report {
-	r := demand.Report{Host: n.settings.Load().Host, Services: make(map[string]demand.Use)}
+	settings := n.settings.Load()
+	r := demand.Report{Host: settings.Host, Cores: settings.Cores, Services: make(map[string]demand.Use)}
 	for name, s := range n.allServices() {
 		var use demand.Use
 		s.change(func(p *pool.Pool) { use.Running, use.Wanted = p.Running(), p.Wanted(reportEvery) })
@@ -146,9 +147,9 @@
 
 // setShares takes in what the coordinator said of the targets. Without hosts,
 // nothing is known.
-func (n *Node) setShares(shares map[string]demand.Shares, hosts int) {
-	if hosts > 0 && n.hosts.Swap(int64(hosts)) != int64(hosts) {
-		n.office.setHosts(int64(hosts))
+func (n *Node) setShares(shares map[string]demand.Shares, hosts demand.Hosts) {
+	if count := int64(hosts.Count); count > 0 && n.hosts.Swap(count) != count {
+		n.office.setHosts(hosts)
 		n.mu.Lock()
 		n.targetsChanged()
 		n.mu.Unlock()
@@ -180,7 +181,7 @@
 			return wire.ErrGarbage
 		}
 		out := &pb.ReportReply{Refused: true}
-		if n.office.holds() {
+		if n.office.isHolder() {
 			out = replyOf(n.office.take(reportOf(in)))
 			out.Relays = n.relays(in.Feeds)
 		}
--- a/internal/entry/servers.go
+++ b/internal/entry/servers.go
@@ -7,9 +7,7 @@
 	"net"
 	"net/http"
 	"os"
-	"os/signal"
 	"reflect"
-	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -124,14 +122,11 @@
 
 // watchSettings reads the settings again at SIGHUP and now and then.
 func (n *Node) watchSettings(ctx context.Context) error {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
 	ticker := time.NewTicker(settingsPoll)
 	defer ticker.Stop()
 	for {
 		select {
-		case <-hup:
+		case <-n.hangups:
 			n.reload(true)
 		case <-ticker.C:
 			n.reload(false)
--- a/internal/entry/term.go
+++ b/internal/entry/term.go
@@ -22,8 +22,10 @@
 	// planEvery is how often ownership is planned: a hot spot is answered within a
 	// second or two.
 	planEvery = 300 * time.Millisecond
-	// renewEvery is how often a grant is prolonged: three may fail in a hold.
-	renewEvery = 1200 * time.Millisecond
+	// renewCheck is how often grants that are due are looked for.
+	renewCheck = 200 * time.Millisecond
+	// renewEvery is how often a grant is prolonged: two may fail in a hold.
+	renewEvery = 1400 * time.Millisecond
 	// hold is how long a grant lasts. It outlasts the time in which another host
 	// becomes coordinator: lease, margin, and a round of renewals.
 	hold = 4500 * time.Millisecond
@@ -48,26 +50,39 @@
 type term struct {
 	o      *office
 	n      *Node
-	orders *wire.Orders
+	orders orders
 	ctx    context.Context // ends with the term; nothing of the term outlives it
 	end    context.CancelFunc
 
+	saving sync.Mutex // one write of a map at a time; taken before mu
+
 	mu     sync.Mutex
 	ledger *grants.Ledger
 	maps   map[string]*ownedMap // by service
-	down   map[keyrange.Owner]int
+	down   map[keyrange.Owner]refusal
 	known  map[rangeKey]*rangeState
-	saving sync.Mutex // one write of a map at a time
 
 	gathering map[string]gathering // by service; used by run alone
 }
 
+// refusal is how often in a row a target refused connections.
+type refusal struct {
+	count int
+	ended bool // it was proved to have ended
+}
+
 // gathering is how many targets of a new service there are, and since when.
 type gathering struct {
 	count int
 	since time.Duration
 }
 
+// orders are sent to targets. *platform.Orders implements it.
+type orders interface {
+	Grant(ctx context.Context, order wire.Order) error
+	Release(ctx context.Context, order wire.Order) (handover string, err error)
+}
+
 // ownedMap is a map as the store acknowledged it.
 type ownedMap struct {
 	keys    *keyrange.Map
@@ -97,7 +112,7 @@
 		orders: wire.NewOrders(grantTimeout),
 		ledger: grants.NewLedger(now, grantTimeout, s.Bounds.GrantMax),
 		maps:   make(map[string]*ownedMap),
-		down:   make(map[keyrange.Owner]int),
+		down:   make(map[keyrange.Owner]refusal),
 		known:  make(map[rangeKey]*rangeState),
 
 		gathering: make(map[string]gathering),
@@ -108,14 +123,14 @@
 // two round trips between regions.
 const grantTimeout = 600 * time.Millisecond
 
-// run plans and grants until the term ends.
+// run plans until the term ends.
 func (t *term) run() {
+	go t.renewAll()
 	for sleep(t.ctx, planEvery) {
 		for _, name := range t.keyedServices() {
 			if err := t.planService(name); err != nil {
 				t.n.log.Emit(evWriteFailed, "service", name, "error", err.Error())
 			}
-			t.renew(name)
 		}
 		t.mu.Lock()
 		t.ledger.Forget(leaseClock())
@@ -123,6 +138,30 @@
 	}
 }
 
+// renewAll prolongs grants until the term ends, whether or not the store answers
+// to a plan.
+func (t *term) renewAll() {
+	for sleep(t.ctx, renewCheck) {
+		for _, name := range t.keyedServices() {
+			t.renew(name)
+		}
+	}
+}
+
+// owned returns the map of a service as the store acknowledged it, or nil.
+func (t *term) owned(service string) *ownedMap {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.maps[service]
+}
+
+// setOwned notes the map of a service; nil: it is to be read again.
+func (t *term) setOwned(service string, m *ownedMap) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.maps[service] = m
+}
+
 func (t *term) keyedServices() []string {
 	var names []string
 	if table := t.n.table.Load(); table != nil {
@@ -141,7 +180,7 @@
 	obj, err := t.n.store.Get(t.ctx, ownersPrefix+service)
 	switch {
 	case errors.Is(err, platform.ErrNotFound):
-		t.maps[service] = &ownedMap{}
+		t.setOwned(service, &ownedMap{})
 		return nil
 	case err != nil:
 		return err
@@ -150,7 +189,7 @@
 	if err != nil {
 		return err
 	}
-	t.maps[service] = &ownedMap{keys: o.keys, version: o.version}
+	t.setOwned(service, &ownedMap{keys: o.keys, version: o.version})
 	t.n.setOwners(service, o)
 	return nil
 }
@@ -159,12 +198,12 @@
 func (t *term) planService(service string) error {
 	t.saving.Lock()
 	defer t.saving.Unlock()
-	if t.maps[service] == nil {
+	if t.owned(service) == nil {
 		if err := t.load(service); err != nil {
 			return err
 		}
 	}
-	owned := t.maps[service]
+	owned := t.owned(service)
 	targets := t.targets(service)
 	if len(targets) == 0 {
 		return nil
@@ -180,7 +219,7 @@
 	}, t.limits(owned.keys, len(targets)))
 	if len(moves) == 0 {
 		t.moveAll(service)
-		return nil
+		return t.merge(service)
 	}
 	next := owned.keys.Clone()
 	for _, m := range moves {
@@ -192,12 +231,34 @@
 	for _, m := range moves {
 		t.n.counters.moves(string(m.Reason))
 		t.n.log.Emit(evMove, "service", service, "from", m.From, "to", m.To, "target", m.Owner.Target,
-			"reason", string(m.Reason), "load", int64(m.Load), "version", t.maps[service].version)
+			"reason", string(m.Reason), "load", int64(m.Load), "version", t.owned(service).version)
 	}
 	t.moveAll(service)
 	return nil
 }
 
+// maxMerges is the number of runs of ranges that are merged in one write.
+const maxMerges = 8
+
+// merge joins neighbouring ranges of one owner, and grants them anew at once.
+func (t *term) merge(service string) error {
+	owned := t.owned(service)
+	next := owned.keys.Clone()
+	merged := next.Merge(maxMerges, t.fixed(service))
+	if len(merged) == 0 {
+		return nil
+	}
+	// Before the map is in force, so that no grant of the new range comes first.
+	t.mu.Lock()
+	for _, m := range merged {
+		for _, before := range m.Before {
+			t.ledger.Inherit(m.Owner, before, m.Fence)
+		}
+	}
+	t.mu.Unlock()
+	return t.save(service, next)
+}
+
 func (t *term) limits(m *keyrange.Map, targets int) hotrange.Limits {
 	limits := hotrange.DefaultLimits
 	moving := 0
@@ -277,26 +338,26 @@
 	if err != nil {
 		return errors.Wrap(err, "owners")
 	}
-	owned := t.maps[service]
+	owned := t.owned(service)
 	for {
 		if !t.o.holds() {
-			delete(t.maps, service)
+			t.setOwned(service, nil)
 			return errors.New("the lease has ended")
 		}
 		version, err := t.n.store.Put(t.ctx, ownersPrefix+service, owned.version, value)
 		if err == nil {
-			t.maps[service] = &ownedMap{keys: next, version: version}
+			t.setOwned(service, &ownedMap{keys: next, version: version})
 			t.n.setOwners(service, owners{keys: next, version: version})
 			return nil
 		}
 		if errors.IsAny(err, platform.ErrConflict, platform.ErrNotFound, platform.ErrRejected) {
 			// An update without an answer may have been done after all, or another
 			// host wrote: what the store holds is read before anything is planned.
-			delete(t.maps, service)
+			t.setOwned(service, nil)
 			return err
 		}
 		if !sleep(t.ctx, writeRetry) {
-			delete(t.maps, service)
+			t.setOwned(service, nil)
 			return err
 		}
 	}
@@ -304,7 +365,7 @@
 
 // moveAll sets the moves of a service going that are not. saving is held.
 func (t *term) moveAll(service string) {
-	owned := t.maps[service]
+	owned := t.owned(service)
 	for _, r := range owned.keys.Ranges {
 		if len(r.Prev) == 0 {
 			continue
@@ -340,9 +401,7 @@
 
 // renew prolongs the grants of a service that are due.
 func (t *term) renew(service string) {
-	t.saving.Lock()
-	owned := t.maps[service]
-	t.saving.Unlock()
+	owned := t.owned(service)
 	if owned == nil || owned.keys == nil {
 		return
 	}
--- a/ownership/grants/ledger.go
+++ b/ownership/grants/ledger.go
@@ -8,6 +8,7 @@
 package grants
 
 import (
+	"slices"
 	"time"
 
 	"github.com/mangopost/mangopost/ownership/keyrange"
@@ -36,6 +37,7 @@
 	end     time.Duration // of every grant
 	unclear time.Duration // of those that were not answered
 	sending int           // grants without answer or reset so far
+	before  []grantKey    // earlier fences under which the owner had the keys
 }
 
 // Ledger holds the ends of the grants that a coordinator sent. The zero value is
@@ -85,27 +87,43 @@
 // EndOf returns when every grant of the owner under this fence has ended. ok is
 // false while one is under way.
 func (l *Ledger) EndOf(owner keyrange.Owner, fence uint64) (end time.Duration, ok bool) {
-	e := l.entries[grantKey{owner.Target, owner.Run, fence}]
-	if e == nil {
-		return l.floor, true
-	}
-	return max(e.end, l.floor), e.sending == 0
+	end, _, ok = l.sum(grantKey{owner.Target, owner.Run, fence})
+	return max(end, l.floor), ok
 }
 
 // EndOfUnclear returns the same for the grants that were not answered: they may
 // be applied after a release.
 func (l *Ledger) EndOfUnclear(owner keyrange.Owner, fence uint64) (end time.Duration, ok bool) {
-	e := l.entries[grantKey{owner.Target, owner.Run, fence}]
+	_, end, ok = l.sum(grantKey{owner.Target, owner.Run, fence})
+	return end, ok
+}
+
+// sum returns the ends of the grants under a fence and those before it.
+func (l *Ledger) sum(k grantKey) (end, unclear time.Duration, ok bool) {
+	e := l.entries[k]
 	if e == nil {
-		return 0, true
+		return 0, 0, true
+	}
+	end, unclear, ok = e.end, e.unclear, e.sending == 0
+	for _, b := range e.before {
+		bEnd, bUnclear, bOK := l.sum(b)
+		end, unclear, ok = max(end, bEnd), max(unclear, bUnclear), ok && bOK
 	}
-	return e.unclear, e.sending == 0
+	return end, unclear, ok
+}
+
+// Inherit notes that keys under an earlier fence of the owner are now under
+// another one: the grants of both count for it, also those under way.
+func (l *Ledger) Inherit(owner keyrange.Owner, before, after uint64) {
+	e := l.entry(owner, after)
+	e.before = append(e.before, grantKey{owner.Target, owner.Run, before})
 }
 
 // Forget drops grants that ended before now.
 func (l *Ledger) Forget(now time.Duration) {
 	for k, e := range l.entries {
-		if e.sending == 0 && e.end < now {
+		e.before = slices.DeleteFunc(e.before, func(b grantKey) bool { return l.entries[b] == nil })
+		if e.sending == 0 && e.end < now && len(e.before) == 0 {
 			delete(l.entries, k)
 		}
 	}
--- a/ownership/grants/ledger_test.go
+++ b/ownership/grants/ledger_test.go
@@ -73,3 +73,21 @@
 	end, _ = l.EndOfUnclear(a, 7)
 	assert.Equal(t, end, time.Duration(0))
 }
+
+// Ranges are merged under a new fence while a renewal of the old one is under way.
+func TestAMergedRangeInheritsWhatIsUnderWay(t *testing.T) {
+	l := grants.NewLedger(-time.Hour, timeout, longest)
+	l.Sending(a, 7)
+	l.Inherit(a, 7, 9)
+	_, ok := l.EndOf(a, 9)
+	assert.Assert(t, !ok)
+	l.GivenUp(time.Second, a, 7, hold)
+	l.Forget(2 * time.Second)
+	unclear, ok := l.EndOfUnclear(a, 9)
+	assert.Assert(t, ok)
+	assert.Equal(t, unclear, grants.End(time.Second, hold))
+	l.Forget(time.Minute)
+	l.Forget(time.Minute)
+	unclear, _ = l.EndOfUnclear(a, 9)
+	assert.Equal(t, unclear, time.Duration(0))
+}
--- a/ownership/keyrange/map.go
+++ b/ownership/keyrange/map.go
@@ -127,6 +127,47 @@
 	return false
 }
 
+// Merged names the fences that a merged range had before.
+type Merged struct {
+	Owner  Owner
+	Fence  uint64
+	Before []uint64
+}
+
+// Merge joins up to limit runs of neighbouring ranges of one owner, each under a
+// new fence, as each range costs a grant. Nothing changes hands: no other owner
+// may hold any of the keys. fixed reports which ranges stay as they are.
+func (m *Map) Merge(limit int, fixed func(Range) bool) []Merged {
+	var merged []Merged
+	out := m.Ranges[:0:0]
+	for i := 0; i < len(m.Ranges); {
+		j := i + 1
+		for j < len(m.Ranges) && mergeable(m.Ranges[i], m.Ranges[j]) && !fixed(m.Ranges[i]) && !fixed(m.Ranges[j]) {
+			j++
+		}
+		r := m.Ranges[i]
+		if j > i+1 && len(merged) < limit {
+			m.Fence++
+			note := Merged{Owner: r.Owner, Fence: m.Fence}
+			for _, part := range m.Ranges[i:j] {
+				note.Before = append(note.Before, part.Fence)
+			}
+			merged = append(merged, note)
+			r.To, r.Fence = m.Ranges[j-1].To, m.Fence
+			out = append(out, r)
+		} else {
+			out = append(out, m.Ranges[i:j]...)
+		}
+		i = j
+	}
+	m.Ranges = out
+	return merged
+}
+
+func mergeable(a, b Range) bool {
+	return a.Owner == b.Owner && len(a.Prev) == 0 && len(b.Prev) == 0
+}
+
 // New returns the first map of a service, with the keys dealt to the owners in
 // proportion to their weights, each range under a fence of its own.
 func New(service string, owners []Owner, weights []float64) *Map {
--- a/placement/demand/demand.go
+++ b/placement/demand/demand.go
@@ -46,6 +46,7 @@
 // Report is a host's work.
 type Report struct {
 	Host     string
+	Cores    float64 // that the host's process may use
 	Services map[string]Use
 }
 
@@ -128,9 +129,15 @@
 	return sum / float64(len(t.measured[service]))
 }
 
+// Hosts is what is known of all hosts that report.
+type Hosts struct {
+	Count int
+	Cores float64 // the most that one may use
+}
+
 // Take takes a host's report in. It returns what to tell the host of each
-// service, and the number of hosts that report.
-func (t *Table) Take(now time.Duration, r Report, slots Slots) (shares map[string]Shares, hosts int) {
+// service, and what is known of all hosts.
+func (t *Table) Take(now time.Duration, r Report, slots Slots) (shares map[string]Shares, hosts Hosts) {
 	t.decay(now)
 	t.reports[r.Host] = timed{r, now}
 	for name, use := range r.Services {
@@ -142,12 +149,13 @@
 			delete(t.reports, host)
 			continue
 		}
-		hosts++
+		hosts.Count++
+		hosts.Cores = max(hosts.Cores, h.Cores)
 		addUse(sums, h.Report)
 	}
 	shares = make(map[string]Shares)
 	for name, d := range sums {
-		if s := d.shares(r.Services[name], slots(name), hosts); len(s.Others)+len(s.Limit) > 0 {
+		if s := d.shares(r.Services[name], slots(name), hosts.Count); len(s.Others)+len(s.Limit) > 0 {
 			shares[name] = s
 		}
 	}
--- a/placement/demand/demand_test.go
+++ b/placement/demand/demand_test.go
@@ -37,7 +37,7 @@
 	assert.Assert(t, total > 6 && total < 10, "%v", total)
 	busy, hosts := table.Take(0, demand.Report{Host: "0", Services: use(1, 20)}, slots(6))
 	quiet, _ := table.Take(0, demand.Report{Host: "1", Services: use(0, 0)}, slots(6))
-	assert.Equal(t, hosts, 90)
+	assert.Equal(t, hosts.Count, 90)
 	assert.Assert(t, busy["s"].Limit["t"] > 5*quiet["s"].Limit["t"])
 	assert.Assert(t, quiet["s"].Limit["t"] > 0, "a host without requests may begin")
 }
@@ -56,7 +56,7 @@
 	table := demand.NewTable(keep)
 	table.Take(0, demand.Report{Host: "a", Services: use(9, 9)}, slots(6))
 	shares, hosts := table.Take(keep+1, demand.Report{Host: "b", Services: use(0, 0)}, slots(6))
-	assert.Equal(t, hosts, 1)
+	assert.Equal(t, hosts.Count, 1)
 	assert.Equal(t, len(shares), 0)
 }
 
--- a/placement/hotrange/plan.go
+++ b/placement/hotrange/plan.go
@@ -30,6 +30,8 @@
 	Lost Reason = "owner-lost"
 	// Hot: the owner has more load than others.
 	Hot Reason = "balance"
+	// Tidy: the owner of a neighbouring range takes a fragment.
+	Tidy Reason = "tidy"
 )
 
 // Move gives the keys From to To, both inclusive, to an owner.
@@ -86,9 +88,56 @@
 	}
 	p.dealOut(lost)
 	p.balance(s, limits)
+	if len(p.moves) == 0 {
+		p.tidy(s, limits)
+	}
 	return p.moves
 }
 
+const (
+	// fragments is the number of ranges for each target from which on some are
+	// joined to their neighbours: each costs a grant every second or so.
+	fragments = 1.6
+	// fewRanges is the number of ranges that cost nothing worth a move.
+	fewRanges = 96
+	// tidyMoves is the number of fragments that move in one plan.
+	tidyMoves = 3
+)
+
+// tidy gives the least loaded ranges to the owner of a neighbour, while there are
+// too many and that owner has room.
+func (p *planner) tidy(s State, limits Limits) {
+	if float64(len(p.m.Ranges)) < max(fewRanges, fragments*float64(len(p.targets))) {
+		return
+	}
+	for range min(tidyMoves, limits.Moves) {
+		best, taker, bestLoad := -1, -1, math.Inf(1)
+		for i, r := range p.m.Ranges {
+			load := p.sums.of(r.From, r.To)
+			owner := p.index(r.Owner)
+			if owner < 0 || load >= bestLoad || !p.movable(r, owner, s.Fixed) {
+				continue
+			}
+			for _, j := range []int{i - 1, i + 1} {
+				if j < 0 || j >= len(p.m.Ranges) || len(p.m.Ranges[j].Prev) > 0 {
+					continue
+				}
+				to := p.index(p.m.Ranges[j].Owner)
+				if to >= 0 && to != owner && p.share(to, load) < limits.Start {
+					best, taker, bestLoad = i, to, load
+				}
+			}
+		}
+		if best < 0 {
+			return
+		}
+		r := p.m.Ranges[best]
+		p.load[p.index(r.Owner)] -= bestLoad
+		p.move(r.From, r.To, taker, Tidy)
+		p.m.Assign(r.From, r.To, p.targets[taker].Owner)
+	}
+}
+
 func (p *planner) index(o keyrange.Owner) int {
 	return slices.IndexFunc(p.targets, func(t Target) bool { return t.Owner.Same(o) })
 }
@@ -116,7 +165,7 @@
 
 // pieces is the number of parts that the mean load of a target is cut into when
 // lost ranges are dealt out.
-const pieces = 3
+const pieces = 2
 
 // dealOut gives lost ranges to the lightest targets, the heaviest pieces first.
 func (p *planner) dealOut(lost []keyrange.Range) {
