--- a/cmd/mangopost-entry/soak_world_test.go
+++ b/cmd/mangopost-entry/soak_world_test.go
@@ -195,9 +195,19 @@
 	assert.NilError(w.t, h.start())
 }
 
+// start begins a process once the one before has ended.
 func (h *soakHost) start() error {
+	h.mu.Lock()
+	before := h.ended
+	h.mu.Unlock()
+	if before != nil {
+		<-before
+	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if h.up {
+		return nil
+	}
 	h.cmd = exec.Command(os.Args[0])
 	h.cmd.Env = append(os.Environ(), childVariable+"=1", "MANGOPOST_CONFIG="+h.settings)
 	h.cmd.Stdout, h.cmd.Stderr = h.log, h.log
--- a/docs/events_test.go
+++ b/docs/events_test.go
@@ -8,6 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
+	_ "github.com/mangopost/mangopost/internal/entry"
 	_ "github.com/mangopost/mangopost/internal/placer"
 	_ "github.com/mangopost/mangopost/internal/router"
 	_ "github.com/mangopost/mangopost/internal/standin"
--- a/docs/layers_test.go
+++ b/docs/layers_test.go
@@ -18,6 +18,8 @@
 var decisionPackages = []string{
 	"lease", "ownership", "membership", "placement", "admission", "dedup",
 	"routing", "template", "maintenance", "finding", "finding/tomldoc",
+	"lease/coordinator", "ownership/keyrange", "ownership/grants", "placement/hotrange", "placement/demand",
+	"admission/pool", "membership/directory", "membership/mirror",
 }
 
 // forbiddenImports are the beginnings of imports that a decision package has no
--- a/docs/metrics_test.go
+++ b/docs/metrics_test.go
@@ -17,7 +17,7 @@
 	page, err := os.ReadFile("METRICS.md")
 	assert.NilError(t, err)
 	inCode := make(map[string]bool)
-	for _, dir := range []string{"router", "placer", "linkbytes"} {
+	for _, dir := range []string{"router", "placer", "linkbytes", "entry"} {
 		paths, err := filepath.Glob(filepath.Join("..", "internal", dir, "*.go"))
 		assert.NilError(t, err)
 		for _, path := range paths {
--- a/internal/entry/events.go
+++ b/internal/entry/events.go
@@ -27,7 +27,6 @@
 	evUnknown  = kernel.RegisterEvent(6102, hclog.Warn, "request ended without an answer: it may have run")
 	evRetried  = kernel.RegisterEvent(6103, hclog.Info, "request is sent again")
 	evLeft     = kernel.RegisterEvent(6104, hclog.Info, "caller left")
-	evLeftOut  = kernel.RegisterEvent(6105, hclog.Info, "lines left out")
 
 	evCoordinator   = kernel.RegisterEvent(6200, hclog.Info, "this host is the coordinator")
 	evNoCoordinator = kernel.RegisterEvent(6201, hclog.Warn, "this host is no longer the coordinator")
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -70,7 +70,8 @@
 	heard func()
 	// relist says that a watch that was interrupted begins with a listing.
 	relist bool
-	// patient says that a host which starts waits for the coordinator first.
+	// patient says that a host waits for the coordinator first when the whole
+	// system starts. Later, callers are waiting.
 	patient bool
 
 	mu       sync.Mutex
@@ -85,7 +86,7 @@
 // while the coordinator does not relay them.
 func (f *feed) follow(ctx context.Context) error {
 	lost, direct := false, true
-	if f.patient {
+	if f.patient && f.n.settings.Load().FirstStart {
 		f.awaitRelay(ctx)
 	}
 	for ctx.Err() == nil {
--- a/internal/entry/granting.go
+++ b/internal/entry/granting.go
@@ -28,7 +28,7 @@
 func (t *term) grant(service string, r keyrange.Range, s *rangeState) bool {
 	holdFor := hold
 	if t.o.longGrants() {
-		holdFor = t.n.settings.Load().Bounds.GrantMax
+		holdFor = min(longHold, t.n.settings.Load().Bounds.GrantMax)
 		t.n.log.Emit(evLongGrants, "service", service, "from", r.From, "to", r.To, "target", r.Owner.Target, "hold_ms", ms(holdFor))
 	}
 	t.mu.Lock()
@@ -75,12 +75,51 @@
 		t.n.log.Emit(evGrantFailed, "service", service, "from", r.From, "to", r.To, "target", r.Owner.Target,
 			"fence", r.Fence, "error", err.Error())
 	}
+	t.noteFailure(r.Owner, err)
 	if refused(err) {
-		t.refusedBy(r.Owner)
 		t.askSoon(service, r)
 	}
 }
 
+// noteFailure takes in what a failed order says of its target.
+func (t *term) noteFailure(owner keyrange.Owner, err error) {
+	switch {
+	case errors.Is(err, wire.ErrOtherTarget):
+		t.replaced(owner)
+	case errors.Is(err, wire.ErrRefusedOrder):
+		// A target of a service without keys takes no orders and does not look
+		// whom they are for.
+		if name, err := t.orders.Identity(t.ctx, owner.Addr, t.healthPath()); err == nil && name != "" && name != owner.Target {
+			t.replaced(owner)
+		}
+	case refused(err):
+		t.refusedBy(owner)
+	}
+}
+
+// healthPath returns where a target tells its name.
+func (t *term) healthPath() string {
+	if table := t.n.table.Load(); table != nil {
+		for _, s := range table.Services {
+			if s.HealthPath != "" {
+				return s.HealthPath
+			}
+		}
+	}
+	return "/"
+}
+
+// replaced notes that another target has the owner's address: an address is given
+// on only after its target has ended.
+func (t *term) replaced(owner keyrange.Owner) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.down[owner].ended {
+		t.n.log.Emit(evTargetDown, "target", owner.Target, "run", owner.Run, "address", "another target's")
+	}
+	t.down[owner] = refusal{ended: true}
+}
+
 // askSoon makes the next grant of a range due shortly: whether its owner has ended
 // is to be known soon.
 func (t *term) askSoon(service string, r keyrange.Range) {
@@ -165,9 +204,7 @@
 			t.n.log.Emit(evReleased, "service", service, "from", r.From, "to", r.To, "target", prev.Target, "fence", prev.Fence)
 			return t.waitUnclear(service, r, prev)
 		}
-		if refused(err) {
-			t.refusedBy(prev.Owner)
-		}
+		t.noteFailure(prev.Owner, err)
 		if !sleep(t.ctx, moveRetryEvery) {
 			return false
 		}
--- a/internal/entry/granting_test.go
+++ b/internal/entry/granting_test.go
@@ -19,8 +19,13 @@
 
 // fakeOrders hands each order to the test and waits for its answer.
 type fakeOrders struct {
-	sent    chan platform.Order // release: Hold is 0
-	answers chan error
+	sent     chan platform.Order // release: Hold is 0
+	answers  chan error
+	identity string
+}
+
+func (f *fakeOrders) Identity(context.Context, string, string) (string, error) {
+	return f.identity, nil
 }
 
 func (f *fakeOrders) Grant(_ context.Context, o platform.Order) error {
@@ -133,3 +138,26 @@
 	assert.Assert(t, refused(syscall.ECONNREFUSED))
 	assert.Assert(t, !refused(syscall.ECONNRESET), "a cap resets")
 }
+
+// An address is given to another target only after its own has ended. Found in
+// the incident of magnolia-labels: keys of such targets had no owner for 11 s.
+func TestAnotherTargetAtTheAddressProvesAnEnd(t *testing.T) {
+	for name, c := range map[string]struct {
+		err      error
+		identity string
+		ended    bool
+	}{
+		"answers for another":          {err: platform.ErrOtherTarget, ended: true},
+		"takes no orders, is another":  {err: platform.ErrRefusedOrder, identity: "x", ended: true},
+		"takes no orders, is the same": {err: platform.ErrRefusedOrder, identity: "a"},
+		"takes no orders, names none":  {err: platform.ErrRefusedOrder},
+		"has seen a higher fence":      {err: platform.ErrFenced, identity: "x"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			tm, fake := newTestTerm(t)
+			fake.identity = c.identity
+			tm.noteFailure(ownerA, c.err)
+			assert.Equal(t, tm.isDown(ownerA), c.ended)
+		})
+	}
+}
--- a/internal/entry/office.go
+++ b/internal/entry/office.go
@@ -155,8 +155,8 @@
 	firstSpread = 300 * time.Millisecond
 )
 
-// firstStagger returns how long a host that starts waits before it may become the
-// coordinator.
+// firstStagger returns how long a host waits before it may become the coordinator
+// when the whole system starts.
 func firstStagger(s *platform.Settings) time.Duration {
 	slow := 1 - min(1, s.Cores/fastCores)
 	place := float64(xxhash.Sum64String(s.Host)%1000) / 1000
@@ -165,7 +165,9 @@
 
 // run takes, renews and uses the lease until ctx ends.
 func (o *office) run(ctx context.Context) error {
-	sleep(ctx, firstStagger(o.n.settings.Load()))
+	if s := o.n.settings.Load(); s.FirstStart {
+		sleep(ctx, firstStagger(s))
+	}
 	for sleep(ctx, electionEvery) {
 		o.mu.Lock()
 		now := leaseClock()
--- a/internal/entry/term.go
+++ b/internal/entry/term.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/mangopost/mangopost/internal/platform"
+	"github.com/mangopost/mangopost/lease/coordinator"
 	"github.com/mangopost/mangopost/membership/directory"
 	"github.com/mangopost/mangopost/ownership/grants"
 	"github.com/mangopost/mangopost/ownership/keyrange"
@@ -29,6 +30,10 @@
 	// hold is how long a grant lasts. It outlasts the time in which another host
 	// becomes coordinator: lease, margin, and a round of renewals.
 	hold = 4500 * time.Millisecond
+	// longHold is how long a grant lasts that is to outlast an outage of the store.
+	// The last ones are sent about two seconds into it, so owners last for nine. A
+	// new coordinator has to assume them, so it is no longer than that.
+	longHold = 7200 * time.Millisecond
 	// writeRetry is the pause after a write of a map that was not acknowledged.
 	writeRetry = 100 * time.Millisecond
 	// settleFor is how long a range stays after it has moved, before it may move
@@ -81,6 +86,7 @@
 type orders interface {
 	Grant(ctx context.Context, order wire.Order) error
 	Release(ctx context.Context, order wire.Order) (handover string, err error)
+	Identity(ctx context.Context, addr, healthPath string) (target string, err error)
 }
 
 // ownedMap is a map as the store acknowledged it.
@@ -106,11 +112,10 @@
 func newTerm(ctx context.Context, o *office) *term {
 	ctx, end := context.WithCancel(ctx)
 	now := leaseClock()
-	s := o.n.settings.Load()
 	return &term{
 		o: o, n: o.n, ctx: ctx, end: end,
 		orders: wire.NewOrders(grantTimeout),
-		ledger: grants.NewLedger(now, grantTimeout, s.Bounds.GrantMax),
+		ledger: grants.NewLedger(now, grantTimeout-coordinator.DefaultTiming.Margin, longHold),
 		maps:   make(map[string]*ownedMap),
 		down:   make(map[keyrange.Owner]refusal),
 		known:  make(map[rangeKey]*rangeState),
