--- a/cmd/mangopost-entry/soak_world_test.go
+++ b/cmd/mangopost-entry/soak_world_test.go
@@ -40,8 +40,6 @@
 	soakHosts    = 3
 	// soakDrain is the bound within which a leaving target gets no new work.
 	soakDrain = 2500 * time.Millisecond
-	// soakTouch is how long faults must be over for the bounds in time to hold.
-	soakTouch = 4 * time.Second
 )
 
 // soakHost is one process and its link to the store.
@@ -55,8 +53,7 @@
 	cmd                       *exec.Cmd
 	up                        bool
 	ended                     chan struct{} // closed when the process has ended
-	lifetime                  int
-	ownExits                  []string // of processes that ended by themselves
+	ownExits                  []string      // of processes that ended by themselves
 	callersURL, readinessPath string
 }
 
@@ -106,26 +103,15 @@
 	version := w.version
 	w.version++
 	w.mu.Unlock()
-	route := func(name, service, kind string) map[string]any {
-		return map[string]any{
-			"name": name, "host": "soak.example", "pathPrefix": "/" + name + "/", "kind": kind, "service": service,
-			"timeoutMs": 1500, "targetLatencyMs": 400, "priority": 1, "maxAttempts": 2,
-		}
-	}
-	routes := []any{
-		route("search", keyedService, "safe"), route("order", keyedService, "unsafe"), route("charge", plainService, "unsafe"),
+	routes := []standin.Route{
+		{Name: "search", Service: keyedService, Idempotent: true},
+		{Name: "order", Service: keyedService},
+		{Name: "charge", Service: plainService},
 	}
 	for i := range version {
-		routes = append(routes, route(fmt.Sprintf("v%d", i), plainService, "safe"))
+		routes = append(routes, standin.Route{Name: fmt.Sprintf("v%d", i), Service: plainService, Idempotent: true})
 	}
-	w.store.Set("config/main", map[string]any{
-		"version": fmt.Sprintf("%08x", version), "routes": routes,
-		"services": []any{
-			map[string]any{"name": keyedService, "maxConns": 100, "sharded": true, "warmS": 0.1},
-			map[string]any{"name": plainService, "maxConns": 100},
-		},
-		"limits": map[string]any{"maxBodyBytes": 1 << 20},
-	})
+	standin.SetConfiguration(w.store, version, routes, map[string]bool{keyedService: true, plainService: false})
 }
 
 func (w *soakWorld) startTarget(service, name string) {
@@ -180,14 +166,9 @@
 	h.readinessPath = fmt.Sprintf("http://127.0.0.1:%d/api/ready", h.ports[1])
 	dir := w.t.TempDir()
 	h.settings = filepath.Join(dir, "node.conf")
-	lines := []string{
-		"self.node=" + h.name, "self.zone=here", "self.region=r", "self.ip=127.0.0.1",
-		fmt.Sprintf("network.listen.front=127.0.0.1:%d", h.ports[0]),
-		fmt.Sprintf("network.listen.ready=127.0.0.1:%d", h.ports[1]),
-		fmt.Sprintf("network.internalPorts=%d,%d", h.ports[2], h.ports[2]),
-		"network.zones.here=r", "platform.heartbeatMs=300", "platform.platform.address=" + link.Addr(),
-	}
-	assert.NilError(w.t, os.WriteFile(h.settings, []byte(strings.Join(lines, "\n")), 0o600))
+	assert.NilError(w.t, standin.WriteSettings(h.settings, standin.HostSettings{
+		Name: h.name, Callers: h.ports[0], Readiness: h.ports[1], Peers: h.ports[2], Store: link.Addr(),
+	}))
 	h.log, err = os.Create(filepath.Join(dir, "log"))
 	assert.NilError(w.t, err)
 	w.hosts = append(w.hosts, h)
@@ -215,7 +196,6 @@
 		return err
 	}
 	h.up, h.ended = true, make(chan struct{})
-	h.lifetime++
 	go h.wait(h.cmd, h.ended)
 	// A signal that comes before the runtime has taken signals over has its usual
 	// effect: no program can change that.
@@ -277,16 +257,12 @@
 	sent           time.Time
 	status         int // 0: no whole answer
 	body           string
-	lifetime       int
 	host           *soakHost
 }
 
 // call sends one request. Callers keep connections open.
 func (w *soakWorld) call(client *http.Client, h *soakHost, id, kind string, key int) {
 	c := &soakCall{id: id, kind: kind, path: "/" + kind + "/" + id, sent: time.Now(), host: h}
-	h.mu.Lock()
-	c.lifetime = h.lifetime
-	h.mu.Unlock()
 	method, body := http.MethodPost, "body-"+id
 	if kind == "search" || strings.HasPrefix(kind, "v") {
 		method, body = http.MethodGet, ""
@@ -296,10 +272,7 @@
 		w.t.Error(err)
 		return
 	}
-	req.Host = "soak.example"
-	req.Header.Set("Attempt-Id", id)
-	req.Header.Set("Deadline-Ms", "1500")
-	req.Header.Set("Shard-Key", fmt.Sprint(key))
+	standin.SetHeaders(req, id, key)
 	resp, err := client.Do(req)
 	if err == nil {
 		data, err := io.ReadAll(resp.Body)
--- a/internal/entry/granting.go
+++ b/internal/entry/granting.go
@@ -89,7 +89,7 @@
 	case errors.Is(err, wire.ErrRefusedOrder):
 		// A target of a service without keys takes no orders and does not look
 		// whom they are for.
-		if name, err := t.orders.Identity(t.ctx, owner.Addr, t.healthPath()); err == nil && name != "" && name != owner.Target {
+		if name, err := t.orders.Identity(t.ctx, owner.Addr, t.healthCheck()); err == nil && name != "" && name != owner.Target {
 			t.replaced(owner)
 		}
 	case refused(err):
@@ -97,12 +97,12 @@
 	}
 }
 
-// healthPath returns where a target tells its name.
-func (t *term) healthPath() string {
+// healthCheck returns where a target tells its name.
+func (t *term) healthCheck() string {
 	if table := t.n.table.Load(); table != nil {
 		for _, s := range table.Services {
-			if s.HealthPath != "" {
-				return s.HealthPath
+			if s.HealthCheck != "" {
+				return s.HealthCheck
 			}
 		}
 	}
--- a/internal/entry/office.go
+++ b/internal/entry/office.go
@@ -34,7 +34,6 @@
 
 	mu       sync.Mutex
 	election *coordinator.Election
-	read     bool  // the objects of this system were listed
 	term     *term // nil while this host is not the coordinator
 
 	demandMu sync.Mutex
--- a/internal/entry/term.go
+++ b/internal/entry/term.go
@@ -86,7 +86,7 @@
 type orders interface {
 	Grant(ctx context.Context, order wire.Order) error
 	Release(ctx context.Context, order wire.Order) (handover string, err error)
-	Identity(ctx context.Context, addr, healthPath string) (target string, err error)
+	Identity(ctx context.Context, addr, healthCheck string) (target string, err error)
 }
 
 // ownedMap is a map as the store acknowledged it.
--- a/internal/replay/routing.go
+++ b/internal/replay/routing.go
@@ -32,6 +32,7 @@
 	Status       int             `json:"status"`
 	Refused      routing.Refused `json:"refused"`
 	IDMatches    bool            `json:"id_matches"`
+	SaysNotRun   bool            `json:"says_not_run,omitempty"`
 	RefusesFirst bool            `json:"refuses_first"`
 }
 
--- a/routing/table.go
+++ b/routing/table.go
@@ -38,7 +38,7 @@
 // Service is a group of targets that serve the same requests.
 type Service struct {
 	Name           string
-	HealthPath     string
+	HealthCheck    string        // path
 	MaxConnections int           // at one target, from all hosts together
 	Keyed          bool          // each key has one owner
 	WarmUp         time.Duration // for which keys without a handover are slow
