--- a/internal/entry/granting_test.go
+++ b/internal/entry/granting_test.go
@@ -99,13 +99,20 @@
 
 // A renewal that has not begun when its range is split is not sent any more.
 func TestARangeThatWasSplitIsNotRenewed(t *testing.T) {
-	tm, _ := newTestTerm(t)
+	tm, fake := newTestTerm(t)
 	whole := tm.owned("s").keys.Ranges[0]
 	next := tm.owned("s").keys.Clone()
 	next.Assign(100, 200, ownerB)
 	tm.setOwned("s", &ownedMap{keys: next, version: 2})
 	state, _ := tm.begin("s", whole)
-	assert.Assert(t, !tm.grant("s", whole, state))
+	done := make(chan bool, 1)
+	go func() { done <- tm.grant("s", whole, state) }()
+	select {
+	case granted := <-done:
+		assert.Assert(t, !granted)
+	case o := <-fake.sent:
+		t.Fatalf("sent: %+v", o)
+	}
 }
 
 // A leaving target refuses connections and still works on what it holds. Found
