--- a/admission/pool/pool.go
+++ b/admission/pool/pool.go
@@ -138,11 +138,13 @@
 	service estimate  // time of a request over all targets
 
 	draining bool
+	now      time.Duration
+	unheld   map[uint64]time.Duration // by fence: the owner did not hold its keys; not asked before
 }
 
 // New returns a pool without targets.
 func New(cfg Config) *Pool {
-	p := &Pool{cfg: cfg, targets: make(map[string]*target)}
+	p := &Pool{cfg: cfg, targets: make(map[string]*target), unheld: make(map[uint64]time.Duration)}
 	p.service.reset(cfg.Service)
 	return p
 }
@@ -173,6 +175,28 @@
 // SetOwners replaces the map of a keyed service.
 func (p *Pool) SetOwners(m *keyrange.Map) { p.owners = m }
 
+// unheldPause is how long after an answer that the owner does not hold its keys
+// no further request for them is sent: each costs a retry.
+const unheldPause = 120 * time.Millisecond
+
+// unheldKeep is how long after that one request at a time asks whether it does.
+const unheldKeep = time.Second
+
+// NotHeld notes that the owner of the keys under a fence did not hold them: its
+// grant is late, or has ended. Until it is asked again they have no owner.
+func (p *Pool) NotHeld(now time.Duration, fence uint64) {
+	p.now = now
+	for f, until := range p.unheld {
+		if until+unheldKeep <= now {
+			delete(p.unheld, f)
+		}
+	}
+	p.unheld[fence] = now + unheldPause
+}
+
+// Held notes that the owner of the keys under a fence took a request for them.
+func (p *Pool) Held(fence uint64) { delete(p.unheld, fence) }
+
 // SetOthers takes in how many requests all other hosts run at each busy target,
 // as they last reported, and this host's share of the requests that a target
 // runs at once where more are asked for than it can run. A share may be less
@@ -247,6 +271,7 @@
 
 // Arrive decides on a request. No action for its ID means that it waits.
 func (p *Pool) Arrive(now time.Duration, r Request) []Action {
+	p.now = now
 	if now >= r.NotUntil {
 		if t, fence, ok := p.pick(now, r); ok && !p.blocked(r) {
 			return []Action{p.start(now, t, fence, r)}
@@ -282,6 +307,9 @@
 }
 
 func (p *Pool) start(now time.Duration, t *target, fence uint64, r Request) Action {
+	if _, asked := p.unheld[fence]; asked {
+		p.unheld[fence] = now + unheldPause
+	}
 	t.running++
 	t.started(now, p.serviceAt(t))
 	return Action{ID: r.ID, Start: true, Target: t.Owner, Fence: fence, Waited: now - r.Arrived}
@@ -378,7 +406,7 @@
 	}
 	r := p.owners.Ranges[i]
 	t := p.targets[r.Owner.Target]
-	if t == nil || t.Leaving || !t.Owner.Same(r.Owner) {
+	if t == nil || t.Leaving || !t.Owner.Same(r.Owner) || p.now < p.unheld[r.Fence] {
 		return nil, 0
 	}
 	return t, r.Fence
@@ -410,6 +438,7 @@
 // Tick starts what may start and refuses what waited too long. It is to be
 // called after each event and at least every Cooling while requests wait.
 func (p *Pool) Tick(now time.Duration) []Action {
+	p.now = now
 	var actions []Action
 	kept := p.waiting[:0]
 	full := make(map[*target]bool)
--- a/admission/pool/pool_test.go
+++ b/admission/pool/pool_test.go
@@ -14,7 +14,9 @@
 
 const ms = time.Millisecond
 
-func owner(name string) keyrange.Owner { return keyrange.Owner{Target: name, Run: 1, Addr: name + ":80"} }
+func owner(name string) keyrange.Owner {
+	return keyrange.Owner{Target: name, Run: 1, Addr: name + ":80"}
+}
 
 func target(name string, slots int, d pool.Distance) pool.Target {
 	return pool.Target{Owner: owner(name), Slots: slots, Distance: d}
@@ -206,6 +208,23 @@
 	assert.Equal(t, refused[0].Reason, pool.NoOwner)
 }
 
+// Pattern: all hosts were down for longer than grants last, and the owners in the
+// map do not hold their keys yet. Each request that is sent there costs a retry.
+func TestKeysThatTheirOwnerDoesNotHoldAreAskedForSeldom(t *testing.T) {
+	p := keyed(target("a", 6, pool.SameZone))
+	sent := 0
+	for now := time.Duration(0); now < time.Second; now += 10 * ms {
+		for _, a := range append(p.Arrive(now, request(uint64(now), now)), p.Tick(now)...) {
+			if a.Start {
+				sent++
+				p.NotHeld(now, a.Fence)
+				p.Finish(now, a.Target, ms, pool.NotOwner)
+			}
+		}
+	}
+	assert.Assert(t, sent < 30, "%d requests sent in a second", sent)
+}
+
 func TestAnotherStartOfATargetIsNotTheOwner(t *testing.T) {
 	p := keyed(target("a", 2, pool.SameZone))
 	again := target("a", 2, pool.SameZone)
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -188,7 +188,7 @@
 		sendCtx = context.WithoutCancel(ctx)
 	}
 	t := c.n.exchange(sendCtx, c.out, a.Target, c.deadline-steady())
-	c.service.finish(a.Target, t.took, t.result)
+	c.service.finish(a, t.took, t.result)
 	c.n.counters.tries(t.result)
 	return t
 }
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/mangopost/mangopost/admission/pool"
-	"github.com/mangopost/mangopost/ownership/keyrange"
 	"github.com/mangopost/mangopost/routing"
 )
 
@@ -110,8 +109,16 @@
 	s.act(s.pool.Drain(steady()))
 }
 
-func (s *service) finish(owner keyrange.Owner, took time.Duration, result pool.Result) {
-	s.change(func(p *pool.Pool) { p.Finish(steady(), owner, took, result) })
+// finish takes in what became of a request that was started.
+func (s *service) finish(a pool.Action, took time.Duration, result pool.Result) {
+	s.change(func(p *pool.Pool) {
+		if result == pool.NotOwner {
+			p.NotHeld(steady(), a.Fence)
+		} else {
+			p.Held(a.Fence)
+		}
+		p.Finish(steady(), a.Target, took, result)
+	})
 }
 
 // first counts a request's arrival for the retry budget and the loads of keys.
--- a/internal/entry/term.go
+++ b/internal/entry/term.go
@@ -23,8 +23,10 @@
 	// planEvery is how often ownership is planned: a hot spot is answered within a
 	// second or two.
 	planEvery = 300 * time.Millisecond
+	// firstPlan is the same at the beginning of a term: grants may be about to end.
+	firstPlan = time.Millisecond
 	// renewCheck is how often grants that are due are looked for.
-	renewCheck = 200 * time.Millisecond
+	renewCheck = 100 * time.Millisecond
 	// renewEvery is how often a grant is prolonged: two may fail in a hold.
 	renewEvery = 1400 * time.Millisecond
 	// hold is how long a grant lasts. It outlasts the time in which another host
@@ -131,7 +133,7 @@
 // run plans until the term ends.
 func (t *term) run() {
 	go t.renewAll()
-	for sleep(t.ctx, planEvery) {
+	for pause := firstPlan; sleep(t.ctx, pause); pause = planEvery {
 		for _, name := range t.keyedServices() {
 			if err := t.planService(name); err != nil {
 				t.n.log.Emit(evWriteFailed, "service", name, "error", err.Error())
