entry: one call at a time asks a store that does not answer, with short pauses

Three feeds failed by turns, each after a watch of 2 s, and kept the gate closed for 1.5 s at a time. Ruled out: the coordinator's relay, which a host that was cut off cannot find if the coordinator changed meanwhile.

--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -95,19 +95,25 @@
 			sleep(ctx, relayCheck)
 			continue
 		}
-		if f.leaveToCoordinator() || f.n.gate.wait(steady()) > 0 {
-			sleep(ctx, min(relayCheck, max(gateFirst/4, f.n.gate.wait(steady()))))
+		if f.leaveToCoordinator() {
+			sleep(ctx, relayCheck)
+			continue
+		}
+		enter, probe := f.n.gate.enter(steady())
+		if !enter {
+			sleep(ctx, gateFirst/4)
 			continue
 		}
 		if !direct && f.relist {
 			f.unlist()
 		}
 		direct = true
-		err := f.once(ctx)
+		err := f.once(ctx, probe)
 		switch {
 		case ctx.Err() != nil:
 			return nil
 		case errors.Is(err, platform.ErrCompacted):
+			f.n.gate.answered()
 			f.unlist()
 		case err != nil:
 			if !lost {
@@ -115,7 +121,7 @@
 			}
 			lost = true
 			f.n.storeFailed.Store(int64(steady()))
-			f.n.gate.failed(steady())
+			f.n.gate.failed(steady(), probe)
 		default:
 			f.n.gate.answered()
 			if lost {
@@ -165,8 +171,9 @@
 	f.listed = false
 }
 
-// once makes one call to the store and takes its answer in.
-func (f *feed) once(ctx context.Context) error {
+// once makes one call to the store and takes its answer in. A probe does not wait
+// for changes.
+func (f *feed) once(ctx context.Context, probe bool) error {
 	f.mu.Lock()
 	listed, revision := f.listed, f.mirror.Revision()
 	f.mu.Unlock()
@@ -181,6 +188,9 @@
 	if f.n.office.holds() {
 		wait = relayWait
 	}
+	if probe {
+		wait = 0
+	}
 	ctx, cancel := context.WithTimeout(ctx, wait+callTime)
 	defer cancel()
 	batch, err := f.n.store.Watch(ctx, f.prefix, revision)
--- a/internal/entry/storegate.go
+++ b/internal/entry/storegate.go
@@ -9,40 +9,53 @@
 	// gateFirst is the pause of all watches after a call to the store that failed;
 	// it doubles with each further one.
 	gateFirst = 200 * time.Millisecond
-	// gateMost bounds the pause: with a call after it, a host is back within the
-	// two seconds in which targets announce themselves again.
-	gateMost = 1500 * time.Millisecond
+	// gateMost bounds the pause: with a call that hangs before it, a host whose link
+	// heals knows what it missed well within the 4 s after which all bounds hold for
+	// it again.
+	gateMost = 700 * time.Millisecond
 )
 
 // storeGate holds the calls of all duties back while the store does not answer:
-// calls cost also when they fail, and hosts are many.
+// calls cost also when they fail, and hosts are many. One call at a time then
+// asks whether it does.
 type storeGate struct {
-	mu    sync.Mutex
-	pause time.Duration
-	next  time.Duration // no call before
+	mu      sync.Mutex
+	pause   time.Duration // 0: the store answers
+	next    time.Duration // no call before
+	probing bool          // a call is under way
 }
 
-// wait returns how long a call has to wait.
-func (g *storeGate) wait(now time.Duration) time.Duration {
+// enter reports whether a call may be made now. It is followed by answered or
+// failed. While probe is set, the call must not wait for changes.
+func (g *storeGate) enter(now time.Duration) (ok, probe bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.next - now
+	if g.pause == 0 {
+		return true, false
+	}
+	if now < g.next || g.probing {
+		return false, false
+	}
+	g.probing = true
+	return true, true
 }
 
 // answered notes that the store answered a call.
 func (g *storeGate) answered() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.pause, g.next = 0, 0
+	g.pause, g.next, g.probing = 0, 0, false
 }
 
-// failed notes that a call failed.
-func (g *storeGate) failed(now time.Duration) {
+// failed notes that a call failed. One that is no probe began before the gate
+// closed.
+func (g *storeGate) failed(now time.Duration, probe bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if now < g.next {
-		return // calls that ran beside the one that was noted
+	if !probe && g.pause > 0 {
+		return
 	}
+	g.probing = false
 	g.pause = min(gateMost, max(gateFirst, 2*g.pause))
 	g.next = now + g.pause
 }
