--- a/internal/entry/office.go
+++ b/internal/entry/candidate.go
@@ -26,11 +26,11 @@
 	longGrantAfter = 1300 * time.Millisecond
 )
 
-// office is the part of a host that may become the coordinator. It acts only
+// candidate is the part of a host that may become the coordinator. It acts only
 // while it holds the lease in the store.
-type office struct {
-	n    *Node
-	run0 int64 // start of this process, Unix nanoseconds
+type candidate struct {
+	n       *Node
+	started int64 // start of this process, Unix nanoseconds
 
 	mu       sync.Mutex
 	election *coordinator.Election
@@ -40,14 +40,14 @@
 	demand   *demand.Table
 }
 
-func newOffice(n *Node) *office {
+func newCandidate(n *Node) *candidate {
 	s := n.settings.Load()
 	self := coordinator.Record{Holder: s.Host, Run: time.Now().UnixNano(), Addr: s.Peers.String()}
-	o := &office{
-		n: n, run0: self.Run, election: coordinator.New(self, coordinator.DefaultTiming), demand: demand.NewTable(reportKeep),
+	c := &candidate{
+		n: n, started: self.Run, election: coordinator.New(self, coordinator.DefaultTiming), demand: demand.NewTable(reportKeep),
 	}
-	o.election.SetStagger(stagger(s, demand.Hosts{Count: assumedHosts}))
-	return o
+	c.election.SetStagger(stagger(s, demand.Hosts{Count: assumedHosts}))
+	return c
 }
 
 const (
@@ -68,80 +68,80 @@
 }
 
 // setHosts takes in what is known of all hosts.
-func (o *office) setHosts(hosts demand.Hosts) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.election.SetStagger(stagger(o.n.settings.Load(), hosts))
+func (c *candidate) setHosts(hosts demand.Hosts) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.election.SetStagger(stagger(c.n.settings.Load(), hosts))
 }
 
 // take takes a host's report in and returns what to tell it.
-func (o *office) take(r demand.Report) (map[string]demand.Shares, demand.Hosts) {
+func (c *candidate) take(r demand.Report) (map[string]demand.Shares, demand.Hosts) {
 	slots := make(map[string]map[string]int)
 	for name := range r.Services {
-		slots[name] = o.n.slots(name)
+		slots[name] = c.n.slots(name)
 	}
-	o.demandMu.Lock()
-	defer o.demandMu.Unlock()
-	return o.demand.Take(steady(), r, func(service string) map[string]int { return slots[service] })
+	c.demandMu.Lock()
+	defer c.demandMu.Unlock()
+	return c.demand.Take(steady(), r, func(service string) map[string]int { return slots[service] })
 }
 
 // loads returns the loads of a service's keys.
-func (o *office) loads(service string) *hotrange.Loads {
-	o.demandMu.Lock()
-	defer o.demandMu.Unlock()
-	return o.demand.Loads(steady(), service)
+func (c *candidate) loads(service string) *hotrange.Loads {
+	c.demandMu.Lock()
+	defer c.demandMu.Unlock()
+	return c.demand.Loads(steady(), service)
 }
 
 // capacity returns the requests a second that a target gets through.
-func (o *office) capacity(service, target string, slots int) float64 {
-	o.demandMu.Lock()
-	defer o.demandMu.Unlock()
-	return o.demand.Capacity(service, target, slots)
+func (c *candidate) capacity(service, target string, slots int) float64 {
+	c.demandMu.Lock()
+	defer c.demandMu.Unlock()
+	return c.demand.Capacity(service, target, slots)
 }
 
 // observe takes in the record of the lease as it was read.
-func (o *office) observe(version uint64, r coordinator.Record) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.election.Observe(leaseClock(), version, r)
+func (c *candidate) observe(version uint64, r coordinator.Record) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.election.Observe(leaseClock(), version, r)
 }
 
 // listed takes in that all objects of this system were read: a record that was
 // not among them does not exist.
-func (o *office) listed() {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.election.Observe(leaseClock(), 0, coordinator.Record{})
+func (c *candidate) listed() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.election.Observe(leaseClock(), 0, coordinator.Record{})
 }
 
 // holds reports whether this host is the coordinator now.
-func (o *office) holds() bool {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return o.election.Holds(leaseClock())
+func (c *candidate) holds() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.election.Holds(leaseClock())
 }
 
 // isHolder reports whether the record, as this host last saw it, names it: while
 // the store is away, the others still ask this host.
-func (o *office) isHolder() bool {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return o.election.Holder().Run == o.run0
+func (c *candidate) isHolder() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.election.Holder().Run == c.started
 }
 
 // longGrants reports whether the lease was not renewed for so long that the store
 // seems away.
-func (o *office) longGrants() bool {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return leaseClock() > o.election.Until()-coordinator.DefaultTiming.Term+longGrantAfter
+func (c *candidate) longGrants() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return leaseClock() > c.election.Until()-coordinator.DefaultTiming.Term+longGrantAfter
 }
 
 // holder returns the coordinator's record as it was seen last.
-func (o *office) holder() coordinator.Record {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return o.election.Holder()
+func (c *candidate) holder() coordinator.Record {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.election.Holder()
 }
 
 const (
@@ -163,47 +163,47 @@
 }
 
 // run takes, renews and uses the lease until ctx ends.
-func (o *office) run(ctx context.Context) error {
-	if s := o.n.settings.Load(); s.FirstStart {
+func (c *candidate) run(ctx context.Context) error {
+	if s := c.n.settings.Load(); s.FirstStart {
 		sleep(ctx, firstStagger(s))
 	}
 	for sleep(ctx, electionEvery) {
-		o.mu.Lock()
+		c.mu.Lock()
 		now := leaseClock()
-		write, due := o.election.Next(now)
-		held := o.election.Holds(now)
-		o.mu.Unlock()
+		write, due := c.election.Next(now)
+		held := c.election.Holds(now)
+		c.mu.Unlock()
 		if due {
-			go o.write(ctx, write)
+			go c.write(ctx, write)
 		}
-		o.setTerm(ctx, held)
+		c.setTerm(ctx, held)
 	}
-	o.setTerm(ctx, false)
+	c.setTerm(ctx, false)
 	return nil
 }
 
 // write makes a conditional update of the lease's record.
-func (o *office) write(ctx context.Context, w coordinator.Write) {
+func (c *candidate) write(ctx context.Context, w coordinator.Write) {
 	sentAt := leaseClock()
-	version, err := o.put(ctx, w)
-	o.mu.Lock()
-	defer o.mu.Unlock()
+	version, err := c.put(ctx, w)
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	if err == nil {
-		o.election.Acknowledged(leaseClock(), sentAt, version, w)
+		c.election.Acknowledged(leaseClock(), sentAt, version, w)
 		return
 	}
-	o.election.Failed(leaseClock())
+	c.election.Failed(leaseClock())
 	if !errors.Is(err, objects.ErrConflict) {
-		o.n.log.Emit(evStoreLost, "call", "renewal of the coordinator's lease", "error", err.Error())
+		c.n.log.Emit(evStoreLost, "call", "renewal of the coordinator's lease", "error", err.Error())
 	}
 }
 
-func (o *office) put(ctx context.Context, w coordinator.Write) (uint64, error) {
+func (c *candidate) put(ctx context.Context, w coordinator.Write) (uint64, error) {
 	value, err := json.Marshal(w.Record)
 	if err != nil {
 		return 0, errors.Wrap(err, "coordinator's record")
 	}
-	version, err := o.n.store.Put(ctx, coordinatorObject, w.Expected, value)
+	version, err := c.n.store.Put(ctx, coordinatorObject, w.Expected, value)
 	if err == nil {
 		return version, nil
 	}
@@ -211,25 +211,25 @@
 		return 0, err // nothing was done
 	}
 	// The watch may be behind; an update without an answer may be done yet.
-	obj, readErr := o.n.store.Get(ctx, coordinatorObject)
+	obj, readErr := c.n.store.Get(ctx, coordinatorObject)
 	if readErr == nil {
-		err = errors.CombineErrors(err, o.n.ownObject(obj))
+		err = errors.CombineErrors(err, c.n.ownObject(obj))
 	}
 	return 0, err
 }
 
 // setTerm begins or ends the work of the coordinator.
-func (o *office) setTerm(ctx context.Context, held bool) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
+func (c *candidate) setTerm(ctx context.Context, held bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	switch {
-	case held && o.term == nil:
-		o.n.log.Emit(evCoordinator, "number", o.election.Holder().Number)
-		o.term = newTerm(ctx, o)
-		go o.term.run()
-	case !held && o.term != nil:
-		o.n.log.Emit(evNoCoordinator, "holder", o.election.Holder().Holder, "last_renewal_ms", ms(leaseClock()-o.election.Until()+coordinator.DefaultTiming.Term))
-		o.term.end()
-		o.term = nil
+	case held && c.term == nil:
+		c.n.log.Emit(evCoordinator, "number", c.election.Holder().Number)
+		c.term = newTerm(ctx, c)
+		go c.term.run()
+	case !held && c.term != nil:
+		c.n.log.Emit(evNoCoordinator, "holder", c.election.Holder().Holder, "last_renewal_ms", ms(leaseClock()-c.election.Until()+coordinator.DefaultTiming.Term))
+		c.term.end()
+		c.term = nil
 	}
 }
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -136,14 +136,14 @@
 
 // awaitRelay gives the coordinator time to send what this host does not know.
 func (f *feed) awaitRelay(ctx context.Context) {
-	for steady() < firstRelay && !f.fresh() && !f.n.office.holds() && sleep(ctx, relayCheck/3) {
+	for steady() < firstRelay && !f.fresh() && !f.n.candidate.holds() && sleep(ctx, relayCheck/3) {
 	}
 }
 
 // fresh reports whether the coordinator relays the feed, and has it from a store
 // that answers.
 func (f *feed) fresh() bool {
-	if f.n.office.holds() {
+	if f.n.candidate.holds() {
 		return false
 	}
 	f.mu.Lock()
@@ -155,7 +155,7 @@
 // leaveToCoordinator reports whether this host has just asked a store that does
 // not answer, and the coordinator will tell when it does.
 func (f *feed) leaveToCoordinator() bool {
-	if f.n.office.holds() {
+	if f.n.candidate.holds() {
 		return false
 	}
 	f.mu.Lock()
@@ -185,7 +185,7 @@
 		return err
 	}
 	wait := watchWait
-	if f.n.office.holds() {
+	if f.n.candidate.holds() {
 		wait = relayWait
 	}
 	if probe {
@@ -355,7 +355,7 @@
 		pause:  ownersPause,
 		replace: func(objects []platform.Object) {
 			apply(objects)
-			n.office.listed()
+			n.candidate.listed()
 		},
 		apply: apply,
 	}
@@ -368,7 +368,7 @@
 		if err := json.Unmarshal(obj.Value, &r); err != nil {
 			return errors.Wrap(err, "coordinator")
 		}
-		n.office.observe(obj.Version, r)
+		n.candidate.observe(obj.Version, r)
 		return nil
 	}
 	if service, ok := strings.CutPrefix(obj.Name, ownersPrefix); ok {
--- a/internal/entry/granting.go
+++ b/internal/entry/granting.go
@@ -27,7 +27,7 @@
 // checked directly before.
 func (t *term) grant(service string, r keyrange.Range, s *rangeState) bool {
 	holdFor := hold
-	if t.o.longGrants() {
+	if t.candidate.longGrants() {
 		holdFor = min(longHold, t.n.settings.Load().Bounds.GrantMax)
 		t.n.log.Emit(evLongGrants, "service", service, "from", r.From, "to", r.To, "target", r.Owner.Target, "hold_ms", ms(holdFor))
 	}
@@ -45,7 +45,7 @@
 	t.ledger.Sending(r.Owner, r.Fence)
 	t.mu.Unlock()
 	var err error
-	if t.o.holds() {
+	if t.candidate.holds() {
 		err = t.orders.Grant(t.ctx, order)
 	} else {
 		err = errors.New("the lease has ended")
@@ -236,7 +236,7 @@
 func (t *term) release(r keyrange.Range, prev keyrange.Previous) (string, error) {
 	ctx, cancel := context.WithTimeout(t.ctx, releaseTimeout)
 	defer cancel()
-	if !t.o.holds() {
+	if !t.candidate.holds() {
 		return "", errors.New("the lease has ended")
 	}
 	return t.orders.Release(ctx, wire.Order{Target: prev.Target, Addr: prev.Addr, From: r.From, To: r.To, Fence: prev.Fence})
--- a/internal/entry/granting_test.go
+++ b/internal/entry/granting_test.go
@@ -51,11 +51,11 @@
 	addr := netip.MustParseAddrPort("127.0.0.1:9")
 	s := &platform.Settings{Host: "h", IP: addr.Addr(), Store: addr, Peers: addr, Heartbeat: time.Second}
 	n := New(s, 0, nil, hclog.New(&hclog.LoggerOptions{Output: io.Discard}))
-	n.office.election.Observe(leaseClock(), 0, coordinator.Record{})
-	w, due := n.office.election.Next(leaseClock())
+	n.candidate.election.Observe(leaseClock(), 0, coordinator.Record{})
+	w, due := n.candidate.election.Next(leaseClock())
 	assert.Assert(t, due)
-	n.office.election.Acknowledged(leaseClock(), leaseClock()+time.Hour, 1, w)
-	tm := newTerm(t.Context(), n.office)
+	n.candidate.election.Acknowledged(leaseClock(), leaseClock()+time.Hour, 1, w)
+	tm := newTerm(t.Context(), n.candidate)
 	fake := &fakeOrders{sent: make(chan platform.Order), answers: make(chan error)}
 	tm.orders = fake
 	tm.setOwned("s", &ownedMap{keys: keyrange.New("s", []keyrange.Owner{ownerA}, []float64{1}), version: 1})
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -18,7 +18,7 @@
 	c := &counters{set: metrics.NewSet()}
 	gauge := func(name string, f func() float64) { c.set.NewGauge(name, f) }
 	gauge("mangopost_entry_ready", func() float64 { return number(n.ready()) })
-	gauge("mangopost_entry_coordinator", func() float64 { return number(n.office.holds()) })
+	gauge("mangopost_entry_coordinator", func() float64 { return number(n.candidate.holds()) })
 	gauge("mangopost_entry_requests_in_flight", func() float64 { return float64(n.inFlight.Load()) })
 	gauge("mangopost_entry_configuration_version", func() float64 {
 		if t := n.table.Load(); t != nil {
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -68,8 +68,8 @@
 	owners    map[string]owners
 	history   ownersHistory
 
-	office *office
-	feeds  []*feed
+	candidate *candidate
+	feeds     []*feed
 }
 
 // New returns a process that is not running yet. hangups tells when the settings
@@ -92,7 +92,7 @@
 	}
 	n.settings.Store(s)
 	n.hosts.Store(assumedHosts)
-	n.office = newOffice(n)
+	n.candidate = newCandidate(n)
 	n.feeds = newFeeds(n)
 	n.counters = newCounters(n)
 	return n
@@ -127,7 +127,7 @@
 		{Name: "configuration", Run: n.feeds[0].follow},
 		{Name: "targets", Run: n.feeds[1].follow},
 		{Name: "owners", Run: n.feeds[2].follow},
-		{Name: "coordinator", Run: n.office.run},
+		{Name: "coordinator", Run: n.candidate.run},
 		{Name: "reports", Run: n.report},
 		{Name: "housekeeping", Run: n.keepHouse},
 	}
@@ -286,7 +286,7 @@
 		return
 	}
 	n.owners[service] = o
-	if n.office.holds() {
+	if n.candidate.holds() {
 		n.history.add(service, o)
 	}
 	moving := slices.ContainsFunc(o.keys.Ranges, func(r keyrange.Range) bool { return len(r.Prev) > 0 })
--- a/internal/entry/reports.go
+++ b/internal/entry/reports.go
@@ -39,13 +39,13 @@
 	defer r.dialer.Close()
 	failing, pause := false, firstReport
 	for sleep(ctx, pause) {
-		holder := n.office.holder()
+		holder := n.candidate.holder()
 		if holder.Addr == "" {
 			continue
 		}
 		pause = reportEvery
-		if n.office.holds() {
-			n.setShares(n.office.take(n.makeReport()))
+		if n.candidate.holds() {
+			n.setShares(n.candidate.take(n.makeReport()))
 			continue
 		}
 		reply, err := r.exchange(ctx, holder.Addr, n.makeReport())
@@ -66,7 +66,7 @@
 
 func (n *Node) incarnation() lease.Incarnation {
 	s := n.settings.Load()
-	return lease.Incarnation{Host: s.Host, Run: uint64(n.office.run0)}
+	return lease.Incarnation{Host: s.Host, Run: uint64(n.candidate.started)}
 }
 
 // exchange sends a report and waits for the reply.
@@ -149,7 +149,7 @@
 // nothing is known.
 func (n *Node) setShares(shares map[string]demand.Shares, hosts demand.Hosts) {
 	if count := int64(hosts.Count); count > 0 && n.hosts.Swap(count) != count {
-		n.office.setHosts(hosts)
+		n.candidate.setHosts(hosts)
 		n.mu.Lock()
 		n.targetsChanged()
 		n.mu.Unlock()
@@ -181,8 +181,8 @@
 			return wire.ErrGarbage
 		}
 		out := &pb.ReportReply{Refused: true}
-		if n.office.isHolder() {
-			out = replyOf(n.office.take(reportOf(in)))
+		if n.candidate.isHolder() {
+			out = replyOf(n.candidate.take(reportOf(in)))
 			out.Relays = n.relays(in.Feeds)
 		}
 		if err := s.Send(&pb.Frame{Body: &pb.Frame_ReportReply{ReportReply: out}}); err != nil {
--- a/internal/entry/term.go
+++ b/internal/entry/term.go
@@ -55,11 +55,11 @@
 
 // term is the work of one coordinator while it holds the lease.
 type term struct {
-	o      *office
-	n      *Node
-	orders orders
-	ctx    context.Context // ends with the term; nothing of the term outlives it
-	end    context.CancelFunc
+	candidate *candidate
+	n         *Node
+	orders    orders
+	ctx       context.Context // ends with the term; nothing of the term outlives it
+	end       context.CancelFunc
 
 	saving sync.Mutex // one write of a map at a time; taken before mu
 
@@ -111,11 +111,11 @@
 	handover string
 }
 
-func newTerm(ctx context.Context, o *office) *term {
+func newTerm(ctx context.Context, c *candidate) *term {
 	ctx, end := context.WithCancel(ctx)
 	now := leaseClock()
 	return &term{
-		o: o, n: o.n, ctx: ctx, end: end,
+		candidate: c, n: c.n, ctx: ctx, end: end,
 		orders: wire.NewOrders(grantTimeout),
 		ledger: grants.NewLedger(now, grantTimeout-coordinator.DefaultTiming.Margin, longHold),
 		maps:   make(map[string]*ownedMap),
@@ -222,7 +222,7 @@
 		return t.save(service, firstMap(service, targets))
 	}
 	moves := hotrange.Plan(hotrange.State{
-		Map: owned.keys, Targets: targets, Loads: t.o.loads(service), Fixed: t.fixed(service),
+		Map: owned.keys, Targets: targets, Loads: t.candidate.loads(service), Fixed: t.fixed(service),
 	}, t.limits(owned.keys, len(targets)))
 	if len(moves) == 0 {
 		t.moveAll(service)
@@ -330,7 +330,7 @@
 		if e.Leaving || t.isDown(owner) {
 			continue
 		}
-		out = append(out, hotrange.Target{Owner: owner, Capacity: t.o.capacity(service, owner.Target, e.Slots)})
+		out = append(out, hotrange.Target{Owner: owner, Capacity: t.candidate.capacity(service, owner.Target, e.Slots)})
 	}
 	return out
 }
@@ -347,7 +347,7 @@
 	}
 	owned := t.owned(service)
 	for {
-		if !t.o.holds() {
+		if !t.candidate.holds() {
 			t.setOwned(service, nil)
 			return errors.New("the lease has ended")
 		}
@@ -413,7 +413,7 @@
 		return
 	}
 	t.forget(service, owned.keys)
-	long := t.o.longGrants()
+	long := t.candidate.longGrants()
 	now := leaseClock()
 	for _, r := range owned.keys.Ranges {
 		if len(r.Prev) > 0 || t.isGone(r.Owner) {
