--- a/internal/entry/events.go
+++ b/internal/entry/events.go
@@ -34,7 +34,7 @@
 	evReleased      = kernel.RegisterEvent(6203, hclog.Info, "keys released by an owner")
 	evGranted       = kernel.RegisterEvent(6204, hclog.Info, "keys granted to their new owner")
 	evGrantFailed   = kernel.RegisterEvent(6205, hclog.Warn, "grant failed")
-	evTargetDown    = kernel.RegisterEvent(6206, hclog.Warn, "target is down: it refuses connections and writes nothing")
+	evTargetDown    = kernel.RegisterEvent(6206, hclog.Warn, "target has ended")
 	evWriteFailed   = kernel.RegisterEvent(6207, hclog.Warn, "map of owners not written")
 	evLongGrants    = kernel.RegisterEvent(6208, hclog.Warn, "grants are prolonged: the store does not answer")
 	evReportFailed  = kernel.RegisterEvent(6209, hclog.Warn, "report to the coordinator failed")
