--- a/admission/pool/pool_test.go
+++ b/admission/pool/pool_test.go
@@ -234,6 +234,22 @@
 	assert.Equal(t, len(p.Arrive(0, r)), 0)
 }
 
+// A host ends while requests wait: they are refused in time, and so is what comes
+// later and would wait. Found on pinjam-antara-grown, scale-2 (LOST): a request
+// waited for the owner of its key until its host had ended.
+func TestAHostThatEndsRefusesWhatWaits(t *testing.T) {
+	p := keyed(target("a", 1, pool.SameZone))
+	started(t, p.Arrive(0, request(1, 0)))
+	assert.Equal(t, len(p.Arrive(0, request(2, 0))), 0, "waits")
+	refused := p.Drain(10 * ms)
+	assert.Equal(t, len(refused), 1)
+	assert.Equal(t, refused[0].ID, uint64(2))
+	assert.Equal(t, refused[0].Reason, pool.Stopping)
+	assert.Equal(t, p.Arrive(20*ms, request(3, 20*ms))[0].Reason, pool.Stopping)
+	p.Finish(30*ms, owner("a"), 30*ms, pool.Answered)
+	assert.Equal(t, started(t, p.Arrive(40*ms, request(4, 40*ms))), "a", "what can start still does")
+}
+
 func TestALeavingTargetGetsNothing(t *testing.T) {
 	leaving := target("a", 2, pool.SameZone)
 	leaving.Leaving = true
