ownership/grants: a release does not end the grants of an earlier coordinator

Late grants were in force, the coordinator had been frozen, ended and killed. Its grants without an answer were applied after its successor's release, as a successor knew only of its own. From a coordinator's start until the last grant of an earlier one must have ended, a release of keys under an earlier fence now counts only from then on; fences of this term are free of that. Ruled out by reading: the election (the property test), renewals under way (they are waited for). TestAReleaseDoesNotEndThePredecessorsGrants failed before.

--- a/internal/entry/granting_test.go
+++ b/internal/entry/granting_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/mangopost/mangopost/lease/coordinator"
 	"github.com/mangopost/mangopost/membership/directory"
+	"github.com/mangopost/mangopost/ownership/grants"
 	"github.com/mangopost/mangopost/ownership/keyrange"
 	"github.com/mangopost/mangopost/platform"
 )
@@ -56,6 +57,7 @@
 	assert.Assert(t, due)
 	n.candidate.election.Acknowledged(leaseClock(), leaseClock()+time.Hour, 1, w)
 	tm := newTerm(t.Context(), n.candidate)
+	tm.ledger = grants.NewLedger(-time.Hour, 0, 0) // no earlier coordinator
 	fake := &fakeOrders{sent: make(chan platform.Order), answers: make(chan error)}
 	tm.orders = fake
 	tm.setOwned("s", &ownedMap{keys: keyrange.New("s", []keyrange.Owner{ownerA}, []float64{1}), version: 1})
--- a/internal/entry/term.go
+++ b/internal/entry/term.go
@@ -219,7 +219,9 @@
 		if !t.gathered(service, len(targets)) {
 			return nil
 		}
-		return t.save(service, firstMap(service, targets))
+		first := firstMap(service, targets)
+		t.noteFresh(0, first)
+		return t.save(service, first)
 	}
 	moves := hotrange.Plan(hotrange.State{
 		Map: owned.keys, Targets: targets, Loads: t.candidate.loads(service), Fixed: t.fixed(service),
@@ -235,6 +237,7 @@
 	if err := t.save(service, next); err != nil {
 		return err
 	}
+	t.noteFresh(owned.keys.Fence, next)
 	for _, m := range moves {
 		t.n.counters.moves(string(m.Reason))
 		t.n.log.Emit(evMove, "service", service, "from", m.From, "to", m.To, "target", m.Owner.Target,
@@ -244,6 +247,18 @@
 	return nil
 }
 
+// noteFresh notes the fences above one: this term is the first to grant keys under
+// them.
+func (t *term) noteFresh(above uint64, m *keyrange.Map) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, r := range m.Ranges {
+		if r.Fence > above {
+			t.ledger.Fresh(r.Owner, r.Fence)
+		}
+	}
+}
+
 // maxMerges is the number of runs of ranges that are merged in one write.
 const maxMerges = 8
 
--- a/ownership/grants/ledger.go
+++ b/ownership/grants/ledger.go
@@ -38,6 +38,7 @@
 	unclear time.Duration // of those that were not answered
 	sending int           // grants without answer or reset so far
 	before  []grantKey    // earlier fences under which the owner had the keys
+	fresh   bool          // no earlier coordinator granted keys under this fence
 }
 
 // Ledger holds the ends of the grants that a coordinator sent. The zero value is
@@ -87,17 +88,31 @@
 // EndOf returns when every grant of the owner under this fence has ended. ok is
 // false while one is under way.
 func (l *Ledger) EndOf(owner keyrange.Owner, fence uint64) (end time.Duration, ok bool) {
-	end, _, ok = l.sum(grantKey{owner.Target, owner.Run, fence})
-	return max(end, l.floor), ok
+	k := grantKey{owner.Target, owner.Run, fence}
+	end, _, ok = l.sum(k)
+	return max(end, l.floorOf(k)), ok
 }
 
 // EndOfUnclear returns the same for the grants that were not answered: they may
 // be applied after a release.
 func (l *Ledger) EndOfUnclear(owner keyrange.Owner, fence uint64) (end time.Duration, ok bool) {
-	_, end, ok = l.sum(grantKey{owner.Target, owner.Run, fence})
-	return end, ok
+	k := grantKey{owner.Target, owner.Run, fence}
+	_, end, ok = l.sum(k)
+	return max(end, l.floorOf(k)), ok
+}
+
+// floorOf returns until when grants of earlier coordinators may count: whether
+// they were answered is not known, so a release does not end them.
+func (l *Ledger) floorOf(k grantKey) time.Duration {
+	if e := l.entries[k]; e != nil && e.fresh {
+		return 0
+	}
+	return l.floor
 }
 
+// Fresh notes a fence that this coordinator is the first to grant keys under.
+func (l *Ledger) Fresh(owner keyrange.Owner, fence uint64) { l.entry(owner, fence).fresh = true }
+
 // sum returns the ends of the grants under a fence and those before it.
 func (l *Ledger) sum(k grantKey) (end, unclear time.Duration, ok bool) {
 	e := l.entries[k]
@@ -123,7 +138,7 @@
 func (l *Ledger) Forget(now time.Duration) {
 	for k, e := range l.entries {
 		e.before = slices.DeleteFunc(e.before, func(b grantKey) bool { return l.entries[b] == nil })
-		if e.sending == 0 && e.end < now && len(e.before) == 0 {
+		if e.sending == 0 && e.end < now && len(e.before) == 0 && (!e.fresh || l.floor < now) {
 			delete(l.entries, k)
 		}
 	}
--- a/ownership/grants/ledger_test.go
+++ b/ownership/grants/ledger_test.go
@@ -33,6 +33,24 @@
 	assert.Equal(t, end, grants.End(time.Minute+timeout, longest), "a renewal does not shorten an earlier grant")
 }
 
+// An earlier coordinator's grant may be without an answer and be applied after a
+// release of this one. Found by the soak, seed 1: late grants, and the coordinator
+// killed.
+func TestAReleaseDoesNotEndThePredecessorsGrants(t *testing.T) {
+	l := grants.NewLedger(time.Minute, timeout, longest)
+	unclear, ok := l.EndOfUnclear(a, 7)
+	assert.Assert(t, ok)
+	assert.Equal(t, unclear, grants.End(time.Minute+timeout, longest))
+	l.Fresh(a, 8)
+	unclear, _ = l.EndOfUnclear(a, 8)
+	assert.Equal(t, unclear, time.Duration(0), "nobody granted keys under this fence before")
+	end, _ := l.EndOf(a, 8)
+	assert.Equal(t, end, time.Duration(0))
+	l.Inherit(a, 7, 9)
+	unclear, _ = l.EndOfUnclear(a, 9)
+	assert.Equal(t, unclear, grants.End(time.Minute+timeout, longest), "merged ranges keep it")
+}
+
 func TestAGrantUnderWayHasNoEnd(t *testing.T) {
 	l := grants.NewLedger(-time.Hour, timeout, longest)
 	l.Sending(a, 7)
