entry, platform, placement: read as a newcomer; behaviour stays

- The pauses between calls to a store that does not answer were in two places, a time of the last failure and the gate; both are the gate's now.
- planService, follow, targetFeed and tidy are split into functions with one job.
- The soak takes the readiness address and the name of the settings variable from platform/.
The joining of fragments has a test (TestFragmentsAreJoinedToTheirNeighbours), which it lacked.

--- a/cmd/mangopost-entry/soak_world_test.go
+++ b/cmd/mangopost-entry/soak_world_test.go
@@ -20,6 +20,7 @@
 	"gotest.tools/v3/assert"
 
 	links "github.com/mangopost/mangopost/internal/standin"
+	"github.com/mangopost/mangopost/platform"
 	"github.com/mangopost/mangopost/platform/standin"
 )
 
@@ -44,17 +45,17 @@
 
 // soakHost is one process and its link to the store.
 type soakHost struct {
-	name                      string
-	ports                     [3]int // callers, readiness, peers
-	link                      *links.Link
-	settings                  string
-	log                       *os.File
-	mu                        sync.Mutex
-	cmd                       *exec.Cmd
-	up                        bool
-	ended                     chan struct{} // closed when the process has ended
-	ownExits                  []string      // of processes that ended by themselves
-	callersURL, readinessPath string
+	name                     string
+	ports                    [3]int // callers, readiness, peers
+	link                     *links.Link
+	settings                 string
+	log                      *os.File
+	mu                       sync.Mutex
+	cmd                      *exec.Cmd
+	up                       bool
+	ended                    chan struct{} // closed when the process has ended
+	ownExits                 []string      // of processes that ended by themselves
+	callersURL, readinessURL string
 }
 
 // soakWorld is a system under faults.
@@ -163,9 +164,9 @@
 	w.t.Cleanup(link.Close)
 	h := &soakHost{name: fmt.Sprintf("host-%d", i), ports: freePorts(w.t), link: link}
 	h.callersURL = fmt.Sprintf("http://127.0.0.1:%d", h.ports[0])
-	h.readinessPath = fmt.Sprintf("http://127.0.0.1:%d/api/ready", h.ports[1])
+	h.readinessURL = standin.ReadinessURL(h.ports[1])
 	dir := w.t.TempDir()
-	h.settings = filepath.Join(dir, "node.conf")
+	h.settings = filepath.Join(dir, "settings")
 	assert.NilError(w.t, standin.WriteSettings(h.settings, standin.HostSettings{
 		Name: h.name, Callers: h.ports[0], Readiness: h.ports[1], Peers: h.ports[2], Store: link.Addr(),
 	}))
@@ -190,7 +191,7 @@
 		return nil
 	}
 	h.cmd = exec.Command(os.Args[0])
-	h.cmd.Env = append(os.Environ(), childVariable+"=1", "MANGOPOST_CONFIG="+h.settings)
+	h.cmd.Env = append(os.Environ(), childVariable+"=1", platform.SettingsVariable+"="+h.settings)
 	h.cmd.Stdout, h.cmd.Stderr = h.log, h.log
 	if err := h.cmd.Start(); err != nil {
 		return err
@@ -243,7 +244,7 @@
 
 func (h *soakHost) ready() bool {
 	client := http.Client{Timeout: 500 * time.Millisecond}
-	resp, err := client.Get(h.readinessPath)
+	resp, err := client.Get(h.readinessURL)
 	if err != nil {
 		return false
 	}
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -40,9 +40,6 @@
 	// firstRelay is how long after its start a host waits for the coordinator
 	// before it asks the store for everything: an election and a report.
 	firstRelay = 1200 * time.Millisecond
-	// storePause is how long after a call without an answer a host does not ask
-	// again while the coordinator relays what it has.
-	storePause = 1500 * time.Millisecond
 	// relayCheck is how often a host looks whether it is still relayed to.
 	relayCheck = 150 * time.Millisecond
 	// ownersPause lets changes of owners that follow each other closely gather.
@@ -73,6 +70,7 @@
 	// patient says that a host waits for the coordinator first when the whole
 	// system starts. Later, callers are waiting.
 	patient bool
+	lost    bool // the store did not answer the last call; used by follow alone
 
 	mu       sync.Mutex
 	mirror   *mirror.Mirror
@@ -82,58 +80,57 @@
 	relayed  time.Duration // when the coordinator last relayed
 }
 
-// follow returns a duty that lists the objects of a feed and then watches them,
-// while the coordinator does not relay them.
+// follow lists the objects of a feed and then watches them, while the coordinator
+// does not relay them.
 func (f *feed) follow(ctx context.Context) error {
-	lost, direct := false, true
 	if f.patient && f.n.settings.Load().FirstStart {
 		f.awaitRelay(ctx)
 	}
+	relayed := false
 	for ctx.Err() == nil {
 		if f.fresh() {
-			direct = false
+			relayed = true
 			sleep(ctx, relayCheck)
 			continue
 		}
-		if f.leaveToCoordinator() {
-			sleep(ctx, relayCheck)
-			continue
-		}
-		enter, probe := f.n.gate.enter(steady())
+		enter, probe := f.n.gate.enter(steady(), f.hearsCoordinator())
 		if !enter {
-			sleep(ctx, gateFirst/4)
+			sleep(ctx, gateCheck)
 			continue
 		}
-		if !direct && f.relist {
-			f.unlist()
-		}
-		direct = true
-		err := f.once(ctx, probe)
-		switch {
-		case ctx.Err() != nil:
-			return nil
-		case errors.Is(err, platform.ErrCompacted):
-			f.n.gate.answered()
+		if relayed && f.relist {
 			f.unlist()
-		case err != nil:
-			if !lost {
-				f.n.log.Emit(evStoreLost, "kind", f.prefix, "error", err.Error())
-			}
-			lost = true
-			f.n.storeFailed.Store(int64(steady()))
-			f.n.gate.failed(steady(), probe)
-		default:
-			f.n.gate.answered()
-			if lost {
-				f.n.log.Emit(evStoreBack, "kind", f.prefix)
-				lost = false
-			}
-			sleep(ctx, f.pause)
 		}
+		relayed = false
+		f.ask(ctx, probe)
 	}
 	return nil
 }
 
+// ask makes one call to the store and notes what came of it.
+func (f *feed) ask(ctx context.Context, probe bool) {
+	err := f.once(ctx, probe)
+	switch {
+	case ctx.Err() != nil:
+	case errors.Is(err, platform.ErrCompacted):
+		f.n.gate.answered()
+		f.unlist()
+	case err != nil:
+		if !f.lost {
+			f.n.log.Emit(evStoreLost, "kind", f.prefix, "error", err.Error())
+		}
+		f.lost = true
+		f.n.gate.failed(steady(), probe)
+	default:
+		f.n.gate.answered()
+		if f.lost {
+			f.n.log.Emit(evStoreBack, "kind", f.prefix)
+			f.lost = false
+		}
+		sleep(ctx, f.pause)
+	}
+}
+
 // awaitRelay gives the coordinator time to send what this host does not know.
 func (f *feed) awaitRelay(ctx context.Context) {
 	for steady() < firstRelay && !f.fresh() && !f.n.candidate.holds() && sleep(ctx, relayCheck/3) {
@@ -152,17 +149,15 @@
 	return f.listed && f.relayed > 0 && now-f.relayed < relayKeep && now-f.answered < relayAge
 }
 
-// leaveToCoordinator reports whether this host has just asked a store that does
-// not answer, and the coordinator will tell when it does.
-func (f *feed) leaveToCoordinator() bool {
+// hearsCoordinator reports whether the coordinator relays the feed, however old
+// what it has from the store is.
+func (f *feed) hearsCoordinator() bool {
 	if f.n.candidate.holds() {
 		return false
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	now := steady()
-	failed := time.Duration(f.n.storeFailed.Load())
-	return f.listed && f.relayed > 0 && now-f.relayed < relayKeep && failed > 0 && now-failed < storePause
+	return f.listed && f.relayed > 0 && steady()-f.relayed < relayKeep
 }
 
 func (f *feed) unlist() {
@@ -265,57 +260,66 @@
 }
 
 func targetFeed(n *Node) *feed {
-	decode := func(obj platform.Object) (directory.Entry, bool) {
-		t, err := wire.DecodeTarget(strings.TrimPrefix(obj.Name, wire.TargetPrefix), obj.Value)
-		if err != nil {
-			n.badObject(obj, err)
-		}
-		return directory.Entry(t), err == nil
-	}
 	return &feed{
 		prefix: wire.TargetPrefix,
 		pause:  targetPause,
 		// Only a listing tells which targets write while nothing else changes.
 		relist:  true,
 		patient: true,
+		replace: n.replaceTargets,
+		apply:   n.applyTargets,
 		heard: func() {
 			n.mu.Lock()
 			defer n.mu.Unlock()
 			n.directory.Heard(steady())
 		},
-		replace: func(objects []platform.Object) {
-			var entries []directory.Entry
-			for _, obj := range objects {
-				if e, ok := decode(obj); ok {
-					entries = append(entries, e)
-				}
-			}
-			n.mu.Lock()
-			defer n.mu.Unlock()
-			n.directory.Replace(steady(), entries)
-			n.log.Emit(evTargets, "listed", len(entries))
-			n.targetsChanged()
-		},
-		apply: func(objects []platform.Object) []platform.Object {
-			n.mu.Lock()
-			defer n.mu.Unlock()
-			var changed []platform.Object
-			for _, obj := range objects {
-				if n.targetChange(obj, decode) {
-					changed = append(changed, obj)
-				}
-			}
-			if len(changed) > 0 {
-				n.targetsChanged()
-			}
-			return changed
-		},
 	}
 }
 
+// decodeTarget reads an entry. ok is false for one that names no target to use.
+func (n *Node) decodeTarget(obj platform.Object) (e directory.Entry, ok bool) {
+	t, err := wire.DecodeTarget(strings.TrimPrefix(obj.Name, wire.TargetPrefix), obj.Value)
+	if err != nil {
+		n.badObject(obj, err)
+	}
+	return directory.Entry(t), err == nil
+}
+
+// replaceTargets takes in all entries.
+func (n *Node) replaceTargets(objects []platform.Object) {
+	var entries []directory.Entry
+	for _, obj := range objects {
+		if e, ok := n.decodeTarget(obj); ok {
+			entries = append(entries, e)
+		}
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.directory.Replace(steady(), entries)
+	n.log.Emit(evTargets, "listed", len(entries))
+	n.targetsChanged()
+}
+
+// applyTargets takes in changed entries and returns those that changed more than
+// their heartbeat.
+func (n *Node) applyTargets(objects []platform.Object) []platform.Object {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var changed []platform.Object
+	for _, obj := range objects {
+		if n.targetChange(obj) {
+			changed = append(changed, obj)
+		}
+	}
+	if len(changed) > 0 {
+		n.targetsChanged()
+	}
+	return changed
+}
+
 // targetChange takes in one changed entry and reports whether it changed what is
 // believed beyond the heartbeat. mu is held.
-func (n *Node) targetChange(obj platform.Object, decode func(platform.Object) (directory.Entry, bool)) bool {
+func (n *Node) targetChange(obj platform.Object) bool {
 	name := strings.TrimPrefix(obj.Name, wire.TargetPrefix)
 	before, had := n.directory.Get(name)
 	if obj.Deleted {
@@ -324,7 +328,7 @@
 		n.log.Emit(evTargets, "target", name, "service", before.Service, "gone", true, "kept", has, "version", obj.Version)
 		return had
 	}
-	e, ok := decode(obj)
+	e, ok := n.decodeTarget(obj)
 	if !ok {
 		n.directory.Remove(steady(), name)
 		return had
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -58,8 +58,7 @@
 	hosts    atomic.Int64 // that report to the coordinator
 	heard    atomic.Int64 // last answer of the store, by steady
 
-	gate        storeGate
-	storeFailed atomic.Int64 // last call to the store without an answer, by steady
+	gate storeGate
 
 	mu        sync.Mutex
 	services  map[string]*service
@@ -118,19 +117,20 @@
 }
 
 func (n *Node) duties() []kernel.Duty {
-	return []kernel.Duty{
+	duties := []kernel.Duty{
 		{Name: "callers", Run: n.serveCallers},
 		{Name: "readiness", Run: n.serveReadiness},
 		{Name: "peers", Run: n.servePeers},
 		{Name: "metrics", Run: n.serveMetrics},
 		{Name: "settings", Run: n.watchSettings},
-		{Name: "configuration", Run: n.feeds[0].follow},
-		{Name: "targets", Run: n.feeds[1].follow},
-		{Name: "owners", Run: n.feeds[2].follow},
 		{Name: "coordinator", Run: n.candidate.run},
 		{Name: "reports", Run: n.report},
 		{Name: "housekeeping", Run: n.keepHouse},
 	}
+	for _, f := range n.feeds {
+		duties = append(duties, kernel.Duty{Name: "feed " + f.prefix, Run: f.follow})
+	}
+	return duties
 }
 
 // housekeeping is how often idle connections and lapsed entries are looked at.
--- a/internal/entry/storegate.go
+++ b/internal/entry/storegate.go
@@ -13,6 +13,11 @@
 	// heals knows what it missed well within the 4 s after which all bounds hold for
 	// it again.
 	gateMost = 700 * time.Millisecond
+	// gateRelayed is the pause of a host to which the coordinator relays what it has:
+	// it will tell when the store answers.
+	gateRelayed = 1500 * time.Millisecond
+	// gateCheck is how often a call that must wait looks again.
+	gateCheck = gateFirst / 4
 )
 
 // storeGate holds the calls of all duties back while the store does not answer:
@@ -23,13 +28,18 @@
 	pause   time.Duration // 0: the store answers
 	next    time.Duration // no call before
 	probing bool          // a call is under way
+	failure time.Duration // when a call failed last; 0: never
 }
 
 // enter reports whether a call may be made now. It is followed by answered or
-// failed. While probe is set, the call must not wait for changes.
-func (g *storeGate) enter(now time.Duration) (ok, probe bool) {
+// failed. While probe is set, the call must not wait for changes. relayed says that
+// the coordinator relays to this host.
+func (g *storeGate) enter(now time.Duration, relayed bool) (ok, probe bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if relayed && g.failure > 0 && now < g.failure+gateRelayed {
+		return false, false
+	}
 	if g.pause == 0 {
 		return true, false
 	}
@@ -52,6 +62,7 @@
 func (g *storeGate) failed(now time.Duration, probe bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.failure = now
 	if !probe && g.pause > 0 {
 		return
 	}
--- a/internal/entry/term.go
+++ b/internal/entry/term.go
@@ -201,7 +201,8 @@
 	return nil
 }
 
-// planService decides on moves, writes them and sets them going.
+// planService reads the map of a service if it must, and writes the first one, moves
+// or merges.
 func (t *term) planService(service string) error {
 	t.saving.Lock()
 	defer t.saving.Unlock()
@@ -212,16 +213,11 @@
 	}
 	owned := t.owned(service)
 	targets := t.targets(service)
-	if len(targets) == 0 {
+	switch {
+	case len(targets) == 0:
 		return nil
-	}
-	if owned.keys == nil {
-		if !t.gathered(service, len(targets)) {
-			return nil
-		}
-		first := firstMap(service, targets)
-		t.noteFresh(0, first)
-		return t.save(service, first)
+	case owned.keys == nil:
+		return t.dealOut(service, targets)
 	}
 	moves := hotrange.Plan(hotrange.State{
 		Map: owned.keys, Targets: targets, Loads: t.candidate.loads(service), Fixed: t.fixed(service),
@@ -230,14 +226,29 @@
 		t.moveAll(service)
 		return t.merge(service)
 	}
-	next := owned.keys.Clone()
+	return t.assign(service, owned.keys, moves)
+}
+
+// dealOut writes the first map of a service, once its targets have gathered.
+func (t *term) dealOut(service string, targets []hotrange.Target) error {
+	if !t.gathered(service, len(targets)) {
+		return nil
+	}
+	first := firstMap(service, targets)
+	t.noteFresh(0, first)
+	return t.save(service, first)
+}
+
+// assign writes the moves and sets them going. saving is held.
+func (t *term) assign(service string, keys *keyrange.Map, moves []hotrange.Move) error {
+	next := keys.Clone()
 	for _, m := range moves {
 		next.Assign(m.From, m.To, m.Owner)
 	}
 	if err := t.save(service, next); err != nil {
 		return err
 	}
-	t.noteFresh(owned.keys.Fence, next)
+	t.noteFresh(keys.Fence, next)
 	for _, m := range moves {
 		t.n.counters.moves(string(m.Reason))
 		t.n.log.Emit(evMove, "service", service, "from", m.From, "to", m.To, "target", m.Owner.Target,
--- a/lease/coordinator/coordinator.go
+++ b/lease/coordinator/coordinator.go
@@ -78,9 +78,6 @@
 // Holder returns the record that was seen last.
 func (e *Election) Holder() Record { return e.seen }
 
-// Age returns how long the record has not changed.
-func (e *Election) Age(now time.Duration) time.Duration { return now - e.seenAt }
-
 // Next returns the write that is due, if any. Its result goes to Done.
 func (e *Election) Next(now time.Duration) (Write, bool) {
 	if e.pending || !e.known || now < e.nextTry {
--- a/placement/hotrange/plan.go
+++ b/placement/hotrange/plan.go
@@ -111,31 +111,47 @@
 		return
 	}
 	for range min(tidyMoves, limits.Moves) {
-		best, taker, bestLoad := -1, -1, math.Inf(1)
-		for i, r := range p.m.Ranges {
-			load := p.sums.of(r.From, r.To)
-			owner := p.index(r.Owner)
-			if owner < 0 || load >= bestLoad || !p.movable(r, owner, s.Fixed) {
-				continue
-			}
-			for _, j := range []int{i - 1, i + 1} {
-				if j < 0 || j >= len(p.m.Ranges) || len(p.m.Ranges[j].Prev) > 0 {
-					continue
-				}
-				to := p.index(p.m.Ranges[j].Owner)
-				if to >= 0 && to != owner && p.share(to, load) < limits.Start {
-					best, taker, bestLoad = i, to, load
-				}
-			}
-		}
-		if best < 0 {
+		r, from, to := p.fragment(s, limits)
+		if to < 0 {
 			return
 		}
-		r := p.m.Ranges[best]
-		p.load[p.index(r.Owner)] -= bestLoad
-		p.move(r.From, r.To, taker, Tidy)
-		p.m.Assign(r.From, r.To, p.targets[taker].Owner)
+		p.load[from] -= p.sums.of(r.From, r.To)
+		p.move(r.From, r.To, to, Tidy)
+		p.m.Assign(r.From, r.To, p.targets[to].Owner)
+	}
+}
+
+// fragment returns the least loaded range that may move, its owner, and the owner
+// of a neighbour that has room for it, or -1.
+func (p *planner) fragment(s State, limits Limits) (r keyrange.Range, from, to int) {
+	to = -1
+	least := math.Inf(1)
+	for i, candidate := range p.m.Ranges {
+		load := p.sums.of(candidate.From, candidate.To)
+		owner := p.index(candidate.Owner)
+		if owner < 0 || load >= least || !p.movable(candidate, owner, s.Fixed) {
+			continue
+		}
+		if taker := p.neighbour(i, owner, load, limits); taker >= 0 {
+			r, from, to, least = candidate, owner, taker, load
+		}
+	}
+	return r, from, to
+}
+
+// neighbour returns another owner beside a range that has room for the load, or -1.
+func (p *planner) neighbour(i, owner int, load float64, limits Limits) int {
+	taker := -1
+	for _, j := range []int{i - 1, i + 1} {
+		if j < 0 || j >= len(p.m.Ranges) || len(p.m.Ranges[j].Prev) > 0 {
+			continue
+		}
+		to := p.index(p.m.Ranges[j].Owner)
+		if to >= 0 && to != owner && p.share(to, load) < limits.Start {
+			taker = to
+		}
 	}
+	return taker
 }
 
 func (p *planner) index(o keyrange.Owner) int {
--- a/placement/hotrange/plan_test.go
+++ b/placement/hotrange/plan_test.go
@@ -186,6 +186,29 @@
 	})
 }
 
+// Pattern: a map in many fragments, each of which costs a grant every second or so.
+func TestFragmentsAreJoinedToTheirNeighbours(t *testing.T) {
+	list := targets(40, 40, 40, 40)
+	m, loads := mapOf(list), &hotrange.Loads{}
+	for i := range 200 {
+		m.Assign(i*300, i*300+99, list[i%4].Owner)
+	}
+	for _, r := range m.Clone().Ranges {
+		m.Settle(r.From, r.Fence)
+	}
+	before := len(m.Ranges)
+	rounds(t, m, list, loads, 30)
+	merged := m.Merge(len(m.Ranges), func(keyrange.Range) bool { return false })
+	assert.Equal(t, len(keyrange.Check(m)), 0)
+	assert.Assert(t, len(merged) > 0 && len(m.Ranges) < before, "%d ranges, %d before", len(m.Ranges), before)
+	for _, note := range merged {
+		assert.Assert(t, len(note.Before) > 1)
+		for _, fence := range note.Before {
+			assert.Assert(t, fence < note.Fence)
+		}
+	}
+}
+
 func TestFixedRangesStay(t *testing.T) {
 	list := targets(10, 10)
 	m, loads := mapOf(list), &hotrange.Loads{}
--- a/routing/table.go
+++ b/routing/table.go
@@ -38,16 +38,14 @@
 // Service is a group of targets that serve the same requests.
 type Service struct {
 	Name           string
-	HealthCheck    string        // path
-	MaxConnections int           // at one target, from all hosts together
-	Keyed          bool          // each key has one owner
-	WarmUp         time.Duration // for which keys without a handover are slow
+	HealthCheck    string // path
+	MaxConnections int    // at one target, from all hosts together
+	Keyed          bool   // each key has one owner
 }
 
 // CallerLimits bound what a caller may send.
 type CallerLimits struct {
-	HeaderBytes int
-	BodyBytes   int64
+	BodyBytes int64
 }
 
 // NewTable returns a table of the routes.
