--- a/admission/pool/pool.go
+++ b/admission/pool/pool.go
@@ -4,7 +4,7 @@
 // for concurrent use.
 //
 // Patterns of load that it answers to:
-//   - a crest above what the targets can run: requests that cannot be answered
+//   - a peak above what the targets can run: requests that cannot be answered
 //     within their latency goal are refused on arrival, with the time at which
 //     there will be room; urgent ones wait before others;
 //   - targets of different speeds, slow and cold ones: the expected time to an
--- a/admission/pool/pool_test.go
+++ b/admission/pool/pool_test.go
@@ -121,7 +121,7 @@
 	assert.Equal(t, started(t, arrive(cold)), "b")
 }
 
-// Pattern: a crest with urgent and other requests: the urgent ones run first, and
+// Pattern: a peak with urgent and other requests: the urgent ones run first, and
 // take the place of others when no more may wait.
 func TestUrgentRequestsRunFirst(t *testing.T) {
 	cfg := pool.DefaultConfig
--- a/cmd/mangopost-entry/soak_test.go
+++ b/cmd/mangopost-entry/soak_test.go
@@ -64,10 +64,10 @@
 	}
 	end := time.Now().Add(length)
 	for time.Now().Before(end) {
-		w.trouble()
+		w.injectFault()
 		time.Sleep(time.Duration(100+w.rand.IntN(400)) * time.Millisecond)
 	}
-	w.calm()
+	w.heal()
 	w.awaitReady()
 	w.awaitService()
 	close(stop)
@@ -75,7 +75,7 @@
 	time.Sleep(300 * time.Millisecond) // what still runs at targets
 	w.check()
 	if t.Failed() {
-		t.Logf("seed %d, troubles:\n%s", seed, strings.Join(w.notes, "\n"))
+		t.Logf("seed %d, faults:\n%s", seed, strings.Join(w.notes, "\n"))
 		w.keepLogs(seed)
 	}
 }
@@ -164,8 +164,8 @@
 	}
 }
 
-// trouble brings one fault about. Faults overlap: each ends on its own.
-func (w *soakWorld) trouble() {
+// injectFault brings one fault about. Faults overlap: each ends on its own.
+func (w *soakWorld) injectFault() {
 	h := w.hosts[w.rand.IntN(len(w.hosts))]
 	for_ := time.Duration(300+w.rand.IntN(3000)) * time.Millisecond
 	kinds := []func(){
@@ -206,7 +206,6 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.notes = append(w.notes, time.Now().Format("05.000 ")+fmt.Sprintf(format, args...))
-	w.troubled = time.Now()
 }
 
 func (w *soakWorld) later(d time.Duration, f func()) { time.AfterFunc(d, f) }
@@ -264,9 +263,9 @@
 	w.later(soakDrain+time.Second, old.Stop)
 }
 
-// calm ends all faults and starts what is down.
-func (w *soakWorld) calm() {
-	w.note("calm")
+// heal ends all faults and starts what is down.
+func (w *soakWorld) heal() {
+	w.note("all faults end")
 	time.Sleep(3500 * time.Millisecond) // the longest fault ends on its own
 	w.fault.Store(int64(standin.None))
 	for _, h := range w.hosts {
@@ -313,7 +312,7 @@
 			w.t.Errorf("%s %s: status %d", c.kind, c.id, c.status)
 		}
 	}
-	w.t.Logf("%d requests, %d served, %d troubles", len(w.callsNow()), served, len(w.notes))
+	w.t.Logf("%d requests, %d served, %d faults", len(w.callsNow()), served, len(w.notes))
 	assert.Check(w.t, served > 0)
 }
 
--- a/cmd/mangopost-entry/soak_world_test.go
+++ b/cmd/mangopost-entry/soak_world_test.go
@@ -68,13 +68,12 @@
 	behaviour standin.Behaviour
 	hosts     []*soakHost
 
-	mu       sync.Mutex
-	targets  []*standin.Target
-	born     int64
-	version  int
-	troubled time.Time // when the last fault ended
-	calls    []*soakCall
-	notes    []string
+	mu      sync.Mutex
+	targets []*standin.Target
+	born    int64
+	version int
+	calls   []*soakCall
+	notes   []string
 }
 
 func newSoakWorld(t *testing.T, seed uint64) *soakWorld {
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -67,10 +67,10 @@
 	heard func()
 	// relist says that a watch that was interrupted begins with a listing.
 	relist bool
-	// patient says that a host waits for the coordinator first when the whole
+	// awaits says that a host waits for the coordinator first when the whole
 	// system starts. Later, callers are waiting.
-	patient bool
-	lost    bool // the store did not answer the last call; used by follow alone
+	awaits bool
+	lost   bool // the store did not answer the last call; used by follow alone
 
 	mu       sync.Mutex
 	mirror   *mirror.Mirror
@@ -83,7 +83,7 @@
 // follow lists the objects of a feed and then watches them, while the coordinator
 // does not relay them.
 func (f *feed) follow(ctx context.Context) error {
-	if f.patient && f.n.settings.Load().FirstStart {
+	if f.awaits && f.n.settings.Load().FirstStart {
 		f.awaitRelay(ctx)
 	}
 	relayed := false
@@ -256,7 +256,7 @@
 		}
 		return objects
 	}
-	return &feed{prefix: wire.ConfigurationPrefix, patient: true, apply: apply, replace: func(objects []platform.Object) { apply(objects) }}
+	return &feed{prefix: wire.ConfigurationPrefix, awaits: true, apply: apply, replace: func(objects []platform.Object) { apply(objects) }}
 }
 
 func targetFeed(n *Node) *feed {
@@ -265,7 +265,7 @@
 		pause:  targetPause,
 		// Only a listing tells which targets write while nothing else changes.
 		relist:  true,
-		patient: true,
+		awaits:  true,
 		replace: n.replaceTargets,
 		apply:   n.applyTargets,
 		heard: func() {
--- a/internal/entry/reportframe.go
+++ b/internal/entry/reportframe.go
@@ -297,7 +297,7 @@
 // maxValue bounds a value that was sent by another host: that of the store.
 const maxValue = platform.MaxValueBytes
 
-// compressors are kept, as a new one takes most of a megabyte.
+// compressors are kept, as a new one allocates all its windows.
 var compressors = sync.Pool{New: func() any { return zlib.NewWriter(nil) }}
 
 func pack(value []byte) []byte {
--- a/internal/entry/term.go
+++ b/internal/entry/term.go
@@ -46,7 +46,7 @@
 	movingShare = 0.34
 	minMoving   = 8
 	// gatherFor is how long the targets of a new service must be the same before
-	// its keys are dealt out: about two heartbeats.
+	// its keys are distributed: about two heartbeats.
 	gatherFor = 1500 * time.Millisecond
 	// refusals is how often in a row a target refuses connections before it may
 	// count as down.
@@ -217,7 +217,7 @@
 	case len(targets) == 0:
 		return nil
 	case owned.keys == nil:
-		return t.dealOut(service, targets)
+		return t.createMap(service, targets)
 	}
 	moves := hotrange.Plan(hotrange.State{
 		Map: owned.keys, Targets: targets, Loads: t.candidate.loads(service), Fixed: t.fixed(service),
@@ -229,8 +229,8 @@
 	return t.assign(service, owned.keys, moves)
 }
 
-// dealOut writes the first map of a service, once its targets have gathered.
-func (t *term) dealOut(service string, targets []hotrange.Target) error {
+// createMap writes the first map of a service, once its targets have gathered.
+func (t *term) createMap(service string, targets []hotrange.Target) error {
 	if !t.gathered(service, len(targets)) {
 		return nil
 	}
@@ -325,7 +325,7 @@
 }
 
 // gathered reports whether the number of a new service's targets has not changed
-// for a while, so that its keys are dealt to all of them.
+// for a while, so that its keys are distributed among all of them.
 func (t *term) gathered(service string, count int) bool {
 	g := t.gathering[service]
 	now := leaseClock()
--- a/ownership/keyrange/map.go
+++ b/ownership/keyrange/map.go
@@ -168,7 +168,7 @@
 	return a.Owner == b.Owner && len(a.Prev) == 0 && len(b.Prev) == 0
 }
 
-// New returns the first map of a service, with the keys dealt to the owners in
+// New returns the first map of a service, with the keys distributed among the owners in
 // proportion to their weights, each range under a fence of its own.
 func New(service string, owners []Owner, weights []float64) *Map {
 	m := &Map{Service: service}
--- a/placement/demand/demand.go
+++ b/placement/demand/demand.go
@@ -28,7 +28,7 @@
 	// told what others run there.
 	busyShare = 0.5
 	// fullShare is the part of a target's slots that may be asked for before they
-	// are dealt to the hosts: what waits there keeps its slots busy.
+	// are divided among the hosts: what waits there keeps its slots busy.
 	fullShare = 1.5
 	// leastShare is the part of an even share that a host without requests gets,
 	// so that its first one need not wait for a report.
--- a/placement/hotrange/plan.go
+++ b/placement/hotrange/plan.go
@@ -30,8 +30,8 @@
 	Lost Reason = "owner-lost"
 	// Hot: the owner has more load than others.
 	Hot Reason = "balance"
-	// Tidy: the owner of a neighbouring range takes a fragment.
-	Tidy Reason = "tidy"
+	// Fragment: the owner of a neighbouring range takes a fragment.
+	Fragment Reason = "fragment"
 )
 
 // Move gives the keys From to To, both inclusive, to an owner.
@@ -72,7 +72,7 @@
 }
 
 // Plan returns the moves to make. Ranges of owners that are not among the
-// targets are dealt out whatever the limits.
+// targets are distributed whatever the limits.
 func Plan(s State, limits Limits) []Move {
 	if len(s.Targets) == 0 {
 		return nil
@@ -86,10 +86,10 @@
 			lost = append(lost, r)
 		}
 	}
-	p.dealOut(lost)
+	p.distribute(lost)
 	p.balance(s, limits)
 	if len(p.moves) == 0 {
-		p.tidy(s, limits)
+		p.defragment(s, limits)
 	}
 	return p.moves
 }
@@ -100,23 +100,23 @@
 	fragments = 1.6
 	// fewRanges is the number of ranges that cost nothing worth a move.
 	fewRanges = 96
-	// tidyMoves is the number of fragments that move in one plan.
-	tidyMoves = 3
+	// fragmentMoves is the number of fragments that move in one plan.
+	fragmentMoves = 3
 )
 
-// tidy gives the least loaded ranges to the owner of a neighbour, while there are
+// defragment gives the least loaded ranges to the owner of a neighbour, while there are
 // too many and that owner has room.
-func (p *planner) tidy(s State, limits Limits) {
+func (p *planner) defragment(s State, limits Limits) {
 	if float64(len(p.m.Ranges)) < max(fewRanges, fragments*float64(len(p.targets))) {
 		return
 	}
-	for range min(tidyMoves, limits.Moves) {
+	for range min(fragmentMoves, limits.Moves) {
 		r, from, to := p.fragment(s, limits)
 		if to < 0 {
 			return
 		}
 		p.load[from] -= p.sums.of(r.From, r.To)
-		p.move(r.From, r.To, to, Tidy)
+		p.move(r.From, r.To, to, Fragment)
 		p.m.Assign(r.From, r.To, p.targets[to].Owner)
 	}
 }
@@ -180,11 +180,11 @@
 }
 
 // pieces is the number of parts that the mean load of a target is cut into when
-// lost ranges are dealt out.
+// lost ranges are distributed.
 const pieces = 2
 
-// dealOut gives lost ranges to the lightest targets, the heaviest pieces first.
-func (p *planner) dealOut(lost []keyrange.Range) {
+// distribute gives lost ranges to the lightest targets, the heaviest pieces first.
+func (p *planner) distribute(lost []keyrange.Range) {
 	size := p.sums.total() / float64(len(p.targets)) / pieces
 	var parts []keyrange.Range
 	for _, r := range lost {
@@ -220,7 +220,7 @@
 
 // balance moves slices from the heaviest to the lightest target. A slice is only
 // as large as brings one of the two to the mean: what is too hot for one target
-// is dealt to several. A target that cannot give anything is passed over.
+// is divided among several. A target that cannot give anything is passed over.
 func (p *planner) balance(s State, limits Limits) {
 	mean := p.mean()
 	stuck := make(map[int]bool)
