--- a/internal/entry/granting.go
+++ b/internal/entry/granting.go
@@ -48,7 +48,7 @@
 	if t.candidate.holds() {
 		err = t.orders.Grant(t.ctx, order)
 	} else {
-		err = errors.New("the lease has ended")
+		err = errors.Join(wire.ErrNotSent, errors.New("the lease has ended"))
 	}
 	t.noteGrant(service, r, holdFor, err)
 	return err == nil
@@ -61,6 +61,8 @@
 	switch {
 	case err == nil || wire.Answered(err):
 		t.ledger.Answered(now, r.Owner, r.Fence, holdFor)
+	case errors.Is(err, wire.ErrNotSent):
+		t.ledger.NotSent(r.Owner, r.Fence)
 	default:
 		t.ledger.GivenUp(now, r.Owner, r.Fence, holdFor)
 	}
--- a/ownership/grants/ledger.go
+++ b/ownership/grants/ledger.go
@@ -85,6 +85,10 @@
 	e.unclear = max(e.unclear, End(now, hold))
 }
 
+// NotSent notes that no byte of a grant left after all: it cannot arrive, and
+// prolongs nothing.
+func (l *Ledger) NotSent(owner keyrange.Owner, fence uint64) { l.entry(owner, fence).sending-- }
+
 // EndOf returns when every grant of the owner under this fence has ended. ok is
 // false while one is under way.
 func (l *Ledger) EndOf(owner keyrange.Owner, fence uint64) (end time.Duration, ok bool) {
--- a/ownership/grants/ledger_test.go
+++ b/ownership/grants/ledger_test.go
@@ -66,6 +66,21 @@
 	assert.Equal(t, end, grants.End(3*time.Second, hold))
 }
 
+// Grants to a target that is silent find no connection. They prolong nothing, so
+// that its keys are free as soon as the last one that arrived has ended.
+func TestAGrantThatWasNotSentProlongsNothing(t *testing.T) {
+	l := grants.NewLedger(-time.Hour, timeout, longest)
+	l.Sending(a, 7)
+	l.Answered(time.Second, a, 7, hold)
+	l.Sending(a, 7)
+	l.NotSent(a, 7)
+	end, ok := l.EndOf(a, 7)
+	assert.Assert(t, ok)
+	assert.Equal(t, end, grants.End(time.Second, hold))
+	unclear, _ := l.EndOfUnclear(a, 7)
+	assert.Equal(t, unclear, time.Duration(0))
+}
+
 // A grant without an answer may be applied after a release: only its end counts.
 func TestAnUnansweredGrantOutlivesARelease(t *testing.T) {
 	l := grants.NewLedger(-time.Hour, timeout, longest)
