entry: a move is complete when the owner took its grant, not when the store has it so

Cause: hosts send nothing for a range that the stored map has as moving, and the coordinator notes each completed move by a write of the map. Now the coordinator keeps completed moves beside the stored map, names them in its answers to reports, and writes them with the next plan. An assignment is still sent only when the store has acknowledged it; what is told early is that its owner took it. Ruled out: hot keys (over by then), targets lost in the outage (later).

Tests without the bench: TestAMoveCompletesWithoutTheStore, TestACompleteMoveIsServedBeforeTheStoreKnows.

--- a/admission/pool/pool.go
+++ b/admission/pool/pool.go
@@ -16,6 +16,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -134,6 +135,7 @@
 	cfg     Config
 	targets map[string]*target
 	owners  *keyrange.Map
+	settled map[keyrange.ID]bool // moves that are complete, beyond what owners says
 	waiting []Request // by priority, then arrival
 	service estimate  // time of a request over all targets
 
@@ -144,7 +146,10 @@
 
 // New returns a pool without targets.
 func New(cfg Config) *Pool {
-	p := &Pool{cfg: cfg, targets: make(map[string]*target), unheld: make(map[uint64]time.Duration)}
+	p := &Pool{
+		cfg: cfg, targets: make(map[string]*target),
+		settled: make(map[keyrange.ID]bool), unheld: make(map[uint64]time.Duration),
+	}
 	p.service.reset(cfg.Service)
 	return p
 }
@@ -173,7 +178,18 @@
 }
 
 // SetOwners replaces the map of a keyed service.
-func (p *Pool) SetOwners(m *keyrange.Map) { p.owners = m }
+func (p *Pool) SetOwners(m *keyrange.Map) {
+	p.owners = m
+	maps.DeleteFunc(p.settled, func(id keyrange.ID, _ bool) bool { return m == nil || !m.Moving(id) })
+}
+
+// Settle notes that moves of the map are complete: the store need not have them
+// as such yet, or may be away.
+func (p *Pool) Settle(ids []keyrange.ID) {
+	for _, id := range ids {
+		p.settled[id] = true
+	}
+}
 
 // unheldPause is how long after an answer that the owner does not hold its keys
 // no further request for them is sent: each costs a retry.
@@ -401,10 +417,13 @@
 		return nil, 0
 	}
 	i := p.owners.At(key)
-	if i < 0 || len(p.owners.Ranges[i].Prev) > 0 {
+	if i < 0 {
 		return nil, 0
 	}
 	r := p.owners.Ranges[i]
+	if len(r.Prev) > 0 && !p.settled[r.ID()] {
+		return nil, 0
+	}
 	t := p.targets[r.Owner.Target]
 	if t == nil || t.Leaving || !t.Owner.Same(r.Owner) || p.now < p.unheld[r.Fence] {
 		return nil, 0
--- a/admission/pool/pool_test.go
+++ b/admission/pool/pool_test.go
@@ -197,7 +197,7 @@
 	r := request(1, 0)
 	r.Key = 5
 	assert.Equal(t, len(p.Arrive(0, r)), 0)
-	m.Settle(0, m.Ranges[0].Fence)
+	m.Settle(m.Ranges[0].ID())
 	p.SetOwners(m.Clone())
 	assert.Equal(t, started(t, p.Tick(100*ms)), "b")
 	late := request(2, 0)
@@ -208,6 +208,21 @@
 	assert.Equal(t, refused[0].Reason, pool.NoOwner)
 }
 
+// Pattern: moves complete while the store is away, so that no map says so.
+func TestACompleteMoveIsServedBeforeTheStoreKnows(t *testing.T) {
+	p := keyed(target("a", 2, pool.SameZone), target("b", 2, pool.SameZone))
+	m := keyrange.New("s", []keyrange.Owner{owner("a")}, []float64{1})
+	m.Assign(0, 99, owner("b"))
+	p.SetOwners(m.Clone())
+	p.Settle([]keyrange.ID{{From: 0, Fence: m.Ranges[0].Fence + 7}})
+	assert.Equal(t, len(p.Arrive(0, request(1, 0))), 0, "another move")
+	p.Settle([]keyrange.ID{m.Ranges[0].ID()})
+	assert.Equal(t, started(t, p.Tick(ms)), "b")
+	m.Assign(0, 99, owner("a"))
+	p.SetOwners(m.Clone())
+	assert.Equal(t, len(p.Arrive(ms, request(2, ms))), 0, "it moves again")
+}
+
 // Pattern: all hosts were down for longer than grants last, and the owners in the
 // map do not hold their keys yet. Each request that is sent there costs a retry.
 func TestKeysThatTheirOwnerDoesNotHoldAreAskedForSeldom(t *testing.T) {
--- a/internal/entry/candidate.go
+++ b/internal/entry/candidate.go
@@ -11,6 +11,7 @@
 
 	objects "github.com/mangopost/mangopost/internal/platform"
 	"github.com/mangopost/mangopost/lease/coordinator"
+	"github.com/mangopost/mangopost/ownership/keyrange"
 	"github.com/mangopost/mangopost/placement/demand"
 	"github.com/mangopost/mangopost/placement/hotrange"
 	"github.com/mangopost/mangopost/platform"
@@ -121,6 +122,16 @@
 	return c.election.Holds(leaseClock())
 }
 
+// settled returns the completed moves of which the store does not know, by service.
+func (c *candidate) settled() map[string][]keyrange.ID {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.term == nil {
+		return nil
+	}
+	return c.term.settled()
+}
+
 // isHolder reports whether the record, as this host last saw it, names it: while
 // the store is away, the others still ask this host.
 func (c *candidate) isHolder() bool {
--- a/internal/entry/granting.go
+++ b/internal/entry/granting.go
@@ -277,22 +277,14 @@
 	return i >= 0 && owned.keys.Ranges[i].Fence == r.Fence && owned.keys.Ranges[i].To == r.To
 }
 
-// settle notes in the map that the owner of a range has it.
+// settle notes that the owner of a range has it, and tells the hosts. The store
+// follows with the next write of the map: it may be away, or slow.
 func (t *term) settle(service string, r keyrange.Range, s *rangeState) {
 	t.mu.Lock()
 	s.settled = leaseClock()
-	t.mu.Unlock()
-	t.saving.Lock()
-	defer t.saving.Unlock()
-	owned := t.owned(service)
-	if owned == nil || owned.keys == nil {
-		return
-	}
-	next := owned.keys.Clone()
-	if !next.Settle(r.From, r.Fence) {
-		return
-	}
-	if err := t.save(service, next); err != nil {
-		t.n.log.Emit(evWriteFailed, "service", service, "from", r.From, "error", err.Error())
+	if owned := t.maps[service]; owned != nil && owned.keys != nil {
+		t.maps[service] = owned.settle([]keyrange.ID{r.ID()})
 	}
+	t.mu.Unlock()
+	t.n.setSettled(service, []keyrange.ID{r.ID()})
 }
--- a/internal/entry/granting_test.go
+++ b/internal/entry/granting_test.go
@@ -117,6 +117,42 @@
 	}
 }
 
+// A move completes while the store does not answer: the new owner's grants are
+// prolonged, the hosts are told, and a map that is written at the same time keeps
+// it. Found on pinjam-antara-grown, trouble-3, 18 to 26 s.
+func TestAMoveCompletesWithoutTheStore(t *testing.T) {
+	tm, fake := newTestTerm(t)
+	next := tm.owned("s").keys.Clone()
+	next.Assign(100, 200, ownerB)
+	tm.setOwned("s", &ownedMap{keys: next, version: 2})
+	moved := next.Ranges[next.At(100)]
+	state, _ := tm.begin("s", moved)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		tm.move("s", moved, state)
+	}()
+	<-fake.sent // the grant; nothing was granted to the owner before
+	fake.answers <- nil
+	<-done
+	assert.Assert(t, !tm.owned("s").keys.Moving(moved.ID()))
+	assert.DeepEqual(t, tm.settled(), map[string][]keyrange.ID{"s": {moved.ID()}})
+	state.renewed = 0
+	go tm.renew("s")
+	renewed := map[string]bool{}
+	for range 3 { // the range and its two neighbours
+		renewed[(<-fake.sent).Target] = true
+		fake.answers <- nil
+	}
+	assert.Assert(t, renewed["b"])
+
+	tm.acknowledged("s", &ownedMap{keys: next, version: 3}) // as it was before
+	assert.Assert(t, !tm.owned("s").keys.Moving(moved.ID()))
+	assert.Equal(t, len(tm.settled()["s"]), 1)
+	tm.acknowledged("s", &ownedMap{keys: tm.owned("s").keys, version: 4})
+	assert.Equal(t, len(tm.settled()), 0)
+}
+
 // A leaving target refuses connections and still works on what it holds. Found
 // on pinjam-antara-grown, trouble-3, at 29.0 s.
 func TestARefusedConnectionAloneDoesNotProveAnEnd(t *testing.T) {
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -294,6 +294,16 @@
 	n.ownersChanged(service, o)
 }
 
+// setSettled passes moves that are complete on to a service's pool.
+func (n *Node) setSettled(service string, ids []keyrange.ID) {
+	n.mu.Lock()
+	s := n.services[service]
+	n.mu.Unlock()
+	if s != nil && s.keyed {
+		s.change(func(p *pool.Pool) { p.Settle(ids) })
+	}
+}
+
 // ownersChanged passes a map on to its pool. mu is held.
 func (n *Node) ownersChanged(service string, o owners) {
 	if s := n.services[service]; s != nil && s.keyed {
--- a/internal/entry/reportframe.go
+++ b/internal/entry/reportframe.go
@@ -126,6 +126,30 @@
 	return out
 }
 
+// settledFrames encodes the completed moves of which the store does not know.
+func settledFrames(settled map[string][]keyrange.ID) []*pb.SettledRanges {
+	var out []*pb.SettledRanges
+	for service, ids := range settled {
+		s := &pb.SettledRanges{Service: service}
+		for _, id := range ids {
+			s.From = append(s.From, uint32(id.From))
+			s.Fences = append(s.Fences, id.Fence)
+		}
+		out = append(out, s)
+	}
+	return out
+}
+
+func settledOf(in *pb.SettledRanges) []keyrange.ID {
+	ids := make([]keyrange.ID, 0, len(in.From))
+	for i, from := range in.From {
+		if i < len(in.Fences) {
+			ids = append(ids, keyrange.ID{From: int(from), Fence: in.Fences[i]})
+		}
+	}
+	return ids
+}
+
 // revision returns the store's revision that a host knows of a feed; 0: none.
 func (f *feed) revision() uint64 {
 	f.mu.Lock()
--- a/internal/entry/reports.go
+++ b/internal/entry/reports.go
@@ -60,6 +60,9 @@
 		failing = false
 		n.setShares(sharesOf(reply), demand.Hosts{Count: int(reply.Hosts), Cores: float64(reply.Cores)})
 		n.takeRelays(reply.Relays)
+		for _, s := range reply.Settled {
+			n.setSettled(s.Service, settledOf(s))
+		}
 	}
 	return nil
 }
@@ -184,6 +187,7 @@
 		if n.candidate.isHolder() {
 			out = replyOf(n.candidate.take(reportOf(in)))
 			out.Relays = n.relays(in.Feeds)
+			out.Settled = settledFrames(n.candidate.settled())
 		}
 		if err := s.Send(&pb.Frame{Body: &pb.Frame_ReportReply{ReportReply: out}}); err != nil {
 			return err
--- a/internal/entry/term.go
+++ b/internal/entry/term.go
@@ -91,10 +91,24 @@
 	Identity(ctx context.Context, addr, healthCheck string) (target string, err error)
 }
 
-// ownedMap is a map as the store acknowledged it.
+// ownedMap is a map as the store acknowledged it, with the moves that are complete
+// since.
 type ownedMap struct {
 	keys    *keyrange.Map
 	version uint64
+	settled []keyrange.ID // moves that the store does not have as complete
+}
+
+// settle returns the map with moves that are complete. Those that it does not
+// have as moving are left out.
+func (m *ownedMap) settle(ids []keyrange.ID) *ownedMap {
+	next := &ownedMap{keys: m.keys.Clone(), version: m.version, settled: slices.Clone(m.settled)}
+	for _, id := range ids {
+		if next.keys.Settle(id) {
+			next.settled = append(next.settled, id)
+		}
+	}
+	return next
 }
 
 type rangeKey struct {
@@ -273,12 +287,13 @@
 // maxMerges is the number of runs of ranges that are merged in one write.
 const maxMerges = 8
 
-// merge joins neighbouring ranges of one owner, and grants them anew at once.
+// merge joins neighbouring ranges of one owner, and grants them anew at once. It
+// also writes moves that were completed.
 func (t *term) merge(service string) error {
 	owned := t.owned(service)
 	next := owned.keys.Clone()
 	merged := next.Merge(maxMerges, t.fixed(service))
-	if len(merged) == 0 {
+	if len(merged)+len(owned.settled) == 0 {
 		return nil
 	}
 	// Before the map is in force, so that no grant of the new range comes first.
@@ -379,7 +394,7 @@
 		}
 		version, err := t.n.store.Put(t.ctx, ownersPrefix+service, owned.version, value)
 		if err == nil {
-			t.setOwned(service, &ownedMap{keys: next, version: version})
+			t.acknowledged(service, &ownedMap{keys: next, version: version})
 			t.n.setOwners(service, owners{keys: next, version: version})
 			return nil
 		}
@@ -396,6 +411,30 @@
 	}
 }
 
+// acknowledged takes in a map that the store has. Moves that were completed while
+// it was written are kept.
+func (t *term) acknowledged(service string, m *ownedMap) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if before := t.maps[service]; before != nil {
+		m = m.settle(before.settled)
+	}
+	t.maps[service] = m
+}
+
+// settled returns the completed moves of which the store does not know, by service.
+func (t *term) settled() map[string][]keyrange.ID {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make(map[string][]keyrange.ID)
+	for service, m := range t.maps {
+		if m != nil && len(m.settled) > 0 {
+			out[service] = m.settled
+		}
+	}
+	return out
+}
+
 // moveAll sets the moves of a service going that are not. saving is held.
 func (t *term) moveAll(service string) {
 	owned := t.owned(service)
--- a/ownership/keyrange/map.go
+++ b/ownership/keyrange/map.go
@@ -34,6 +34,16 @@
 	Prev []Previous
 }
 
+// ID names a range in all versions of a map in which it moves: its first key, and
+// the fence of the move.
+type ID struct {
+	From  int
+	Fence uint64
+}
+
+// ID returns the range's name.
+func (r Range) ID() ID { return ID{r.From, r.Fence} }
+
 // Previous is an owner whose grant has to end before the next one begins.
 type Previous struct {
 	Owner
@@ -114,17 +124,21 @@
 	m.Ranges = out
 }
 
-// Settle notes that the owner of the range with this fence that begins at from
-// was granted its keys. It reports whether there was such a range.
-func (m *Map) Settle(from int, fence uint64) bool {
-	for i := range m.Ranges {
-		r := &m.Ranges[i]
-		if r.From == from && r.Fence == fence && len(r.Prev) > 0 {
-			r.Prev = nil
-			return true
-		}
+// Settle notes that the owner of a moving range was granted its keys. It reports
+// whether there was such a range.
+func (m *Map) Settle(id ID) bool {
+	if !m.Moving(id) {
+		return false
 	}
-	return false
+	m.Ranges[m.At(id.From)].Prev = nil
+	return true
+}
+
+// Moving reports whether there is such a range and earlier owners may hold its
+// keys.
+func (m *Map) Moving(id ID) bool {
+	i := m.At(id.From)
+	return i >= 0 && m.Ranges[i].ID() == id && len(m.Ranges[i].Prev) > 0
 }
 
 // Merged names the fences that a merged range had before.
--- a/ownership/keyrange/map_test.go
+++ b/ownership/keyrange/map_test.go
@@ -36,8 +36,8 @@
 	assert.Equal(t, r.Owner, owner(2))
 	assert.Equal(t, len(r.Prev), 2)
 	assert.Equal(t, r.Prev[1].Owner, owner(1))
-	assert.Assert(t, m.Settle(150, r.Fence))
-	assert.Assert(t, !m.Settle(150, r.Fence), "settled twice")
+	assert.Assert(t, m.Settle(keyrange.ID{From: 150, Fence: r.Fence}))
+	assert.Assert(t, !m.Settle(keyrange.ID{From: 150, Fence: r.Fence}), "settled twice")
 	assert.Equal(t, len(m.Ranges[m.At(160)].Prev), 0)
 	assert.Equal(t, len(m.Ranges[m.At(120)].Prev), 1, "the rest of the move goes on")
 }
@@ -48,7 +48,7 @@
 		before := m.Clone()
 		if rapid.Bool().Draw(t, "settle") {
 			i := rapid.IntRange(0, len(m.Ranges)-1).Draw(t, "range")
-			m.Settle(m.Ranges[i].From, m.Ranges[i].Fence)
+			m.Settle(m.Ranges[i].ID())
 		} else {
 			from := rapid.IntRange(0, keyrange.MaxKey).Draw(t, "from")
 			to := rapid.IntRange(from, keyrange.MaxKey).Draw(t, "to")
--- a/placement/hotrange/plan_test.go
+++ b/placement/hotrange/plan_test.go
@@ -48,7 +48,7 @@
 		}
 		assert.Equal(t, len(keyrange.Check(m)), 0)
 		for _, r := range m.Clone().Ranges {
-			m.Settle(r.From, r.Fence)
+			m.Settle(r.ID())
 		}
 	}
 	return moves
@@ -194,7 +194,7 @@
 		m.Assign(i*300, i*300+99, list[i%4].Owner)
 	}
 	for _, r := range m.Clone().Ranges {
-		m.Settle(r.From, r.Fence)
+		m.Settle(r.ID())
 	}
 	before := len(m.Ranges)
 	rounds(t, m, list, loads, 30)
