lease/coordinator: a coordinator resigns when it stops and when a faster host is there

Besides, every change of the coordinator, also a planned one, cost 2.9 s without one and 7.7 s without moves. Now - hosts whose attempt failed wait until the store answers and then come one after the other, fast ones first; - a coordinator with less than half of the cores of another host gives the role up after three reports, and a stopping one at once: it stops sending, waits until what is under way is answered, and says in the record until when its grants may count. The next one starts at once and moves keys at once; - a host that drains keeps following the store and reporting until it is drained. Ruled out: the store's rates (no 429), the size of the maps.

TestARoleThatWasGivenUpIsTakenAtOnce, TestHostsGoOneAfterTheOtherWhenTheStoreIsBack, TestASuccessorWaitsForWhatItWasTold; TestOneCoordinatorAtMost now resigns too.

--- a/internal/entry/candidate.go
+++ b/internal/entry/candidate.go
@@ -11,6 +11,7 @@
 
 	objects "github.com/mangopost/mangopost/internal/platform"
 	"github.com/mangopost/mangopost/lease/coordinator"
+	"github.com/mangopost/mangopost/ownership/grants"
 	"github.com/mangopost/mangopost/ownership/keyrange"
 	"github.com/mangopost/mangopost/placement/demand"
 	"github.com/mangopost/mangopost/placement/hotrange"
@@ -33,9 +34,12 @@
 	n       *Node
 	started int64 // start of this process, Unix nanoseconds
 
-	mu       sync.Mutex
-	election *coordinator.Election
-	term     *term // nil while this host is not the coordinator
+	mu         sync.Mutex
+	election   *coordinator.Election
+	term       *term         // nil while this host is not the coordinator
+	hosts      demand.Hosts  // as last known
+	termBegan  time.Duration // by leaseClock
+	keepsUntil time.Duration // the role is not given to a faster host before, by leaseClock
 
 	demandMu sync.Mutex
 	demand   *demand.Table
@@ -58,23 +62,87 @@
 	// hostStagger is the mean distance between two hosts that try to become the
 	// coordinator, of which only one can succeed: about the time of a write.
 	hostStagger = 50 * time.Millisecond
+	// fasterHost is how many times as many cores another host must have to be given
+	// the role.
+	fasterHost = 2
+	// settleTerm is how long a term lasts at least before the role is given to a
+	// faster host: all hosts have reported by then.
+	settleTerm = 3 * reportEvery
+	// keepRole is how long a host that took the role again, as no faster one did,
+	// keeps it.
+	keepRole = 15 * time.Second
 )
 
 // stagger returns how long after the first of all hosts this one tries to become
 // the coordinator.
 func stagger(s *platform.Settings, hosts demand.Hosts) time.Duration {
 	slow := 1 - min(1, s.Cores/max(hosts.Cores, s.Cores))
+	peers := hosts.Count
+	if hosts.Fast > 0 && s.Cores*fasterHost > hosts.Cores {
+		peers = hosts.Fast
+	}
 	place := float64(xxhash.Sum64String(s.Host)%1000) / 1000
-	return time.Duration(slow*float64(slowStagger)) + time.Duration(place*float64(hosts.Count)*float64(hostStagger))
+	return time.Duration(slow*float64(slowStagger)) + time.Duration(place*float64(peers)*float64(hostStagger))
 }
 
 // setHosts takes in what is known of all hosts.
 func (c *candidate) setHosts(hosts demand.Hosts) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.hosts = hosts
 	c.election.SetStagger(stagger(c.n.settings.Load(), hosts))
 }
 
+// heard notes that the store answered.
+func (c *candidate) heard() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.election.Heard(leaseClock())
+}
+
+// hasFaster reports whether the role is to be given to a faster host.
+func (c *candidate) hasFaster() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := leaseClock()
+	return c.term != nil && now > c.termBegan+settleTerm && now > c.keepsUntil &&
+		c.hosts.Cores > fasterHost*c.n.settings.Load().Cores
+}
+
+// resign gives the role up, once what this host has sent is settled, and tells the
+// next coordinator until when it counts.
+func (c *candidate) resign(ctx context.Context, why string) {
+	c.mu.Lock()
+	t := c.term
+	c.mu.Unlock()
+	if t == nil {
+		return
+	}
+	floor := t.quiesce()
+	c.setTerm(ctx, false)
+	w, ok := c.resignation(ctx, floor)
+	if ok {
+		c.write(ctx, w)
+	}
+	c.n.log.Emit(evResigned, "reason", why, "written", ok, "end_ms", w.Record.EndMs, "unclear_ms", w.Record.UnclearMs)
+}
+
+// resignation returns the write that gives the role up, when no renewal is under
+// way. ok is false when the lease has ended before.
+func (c *candidate) resignation(ctx context.Context, floor grants.Floor) (w coordinator.Write, ok bool) {
+	for {
+		c.mu.Lock()
+		now := leaseClock()
+		w, ok = c.election.Resign(now, floor.End-now, floor.Unclear-now)
+		held := c.election.Holds(now)
+		c.keepsUntil = now + keepRole
+		c.mu.Unlock()
+		if ok || !held || !sleep(ctx, underWayCheck) {
+			return w, ok
+		}
+	}
+}
+
 // take takes a host's report in and returns what to tell it.
 func (c *candidate) take(r demand.Report) (map[string]demand.Shares, demand.Hosts) {
 	slots := make(map[string]map[string]int)
@@ -185,11 +253,15 @@
 		held := c.election.Holds(now)
 		c.mu.Unlock()
 		if due {
-			go c.write(ctx, write)
+			// A renewal that is broken off leaves the record's version unknown.
+			go c.write(context.WithoutCancel(ctx), write)
 		}
 		c.setTerm(ctx, held)
+		if c.hasFaster() {
+			c.resign(ctx, "faster host")
+		}
 	}
-	c.setTerm(ctx, false)
+	c.resign(context.WithoutCancel(ctx), "stopping")
 	return nil
 }
 
@@ -236,7 +308,10 @@
 	switch {
 	case held && c.term == nil:
 		c.n.log.Emit(evCoordinator, "number", c.election.Holder().Number)
-		c.term = newTerm(ctx, c)
+		// The end of the term is the end of its work, not that of this duty: what is
+		// under way then is to be settled.
+		c.term = newTerm(context.WithoutCancel(ctx), c)
+		c.termBegan = leaseClock()
 		go c.term.run()
 	case !held && c.term != nil:
 		c.n.log.Emit(evNoCoordinator, "holder", c.election.Holder().Holder, "last_renewal_ms", ms(leaseClock()-c.election.Until()+coordinator.DefaultTiming.Term))
--- a/internal/entry/events.go
+++ b/internal/entry/events.go
@@ -38,4 +38,5 @@
 	evWriteFailed   = kernel.RegisterEvent(6207, hclog.Warn, "map of owners not written")
 	evLongGrants    = kernel.RegisterEvent(6208, hclog.Warn, "grants are prolonged: the store does not answer")
 	evReportFailed  = kernel.RegisterEvent(6209, hclog.Warn, "report to the coordinator failed")
+	evResigned      = kernel.RegisterEvent(6210, hclog.Info, "this host gives the coordinator's role up")
 )
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -362,6 +362,7 @@
 			n.candidate.listed()
 		},
 		apply: apply,
+		heard: n.candidate.heard,
 	}
 }
 
--- a/internal/entry/granting.go
+++ b/internal/entry/granting.go
@@ -32,7 +32,7 @@
 		t.n.log.Emit(evLongGrants, "service", service, "from", r.From, "to", r.To, "target", r.Owner.Target, "hold_ms", ms(holdFor))
 	}
 	t.mu.Lock()
-	if !t.currentLocked(service, r) {
+	if t.closed || !t.currentLocked(service, r) {
 		// The range was split, moved or merged since: a grant of it now could
 		// arrive after the owner has released a part.
 		t.mu.Unlock()
@@ -238,7 +238,10 @@
 func (t *term) release(r keyrange.Range, prev keyrange.Previous) (string, error) {
 	ctx, cancel := context.WithTimeout(t.ctx, releaseTimeout)
 	defer cancel()
-	if !t.candidate.holds() {
+	t.mu.Lock()
+	closed := t.closed
+	t.mu.Unlock()
+	if closed || !t.candidate.holds() {
 		return "", errors.New("the lease has ended")
 	}
 	return t.orders.Release(ctx, wire.Order{Target: prev.Target, Addr: prev.Addr, From: r.From, To: r.To, Fence: prev.Fence})
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -117,18 +117,26 @@
 }
 
 func (n *Node) duties() []kernel.Duty {
+	// What a host knows is kept up while it answers the last callers.
+	drained, end := context.WithCancel(context.Background())
+	untilDrained := func(run func(context.Context) error) func(context.Context) error {
+		return func(context.Context) error { return run(drained) }
+	}
 	duties := []kernel.Duty{
-		{Name: "callers", Run: n.serveCallers},
+		{Name: "callers", Run: func(ctx context.Context) error {
+			defer end()
+			return n.serveCallers(ctx)
+		}},
 		{Name: "readiness", Run: n.serveReadiness},
-		{Name: "peers", Run: n.servePeers},
+		{Name: "peers", Run: untilDrained(n.servePeers)},
 		{Name: "metrics", Run: n.serveMetrics},
 		{Name: "settings", Run: n.watchSettings},
 		{Name: "coordinator", Run: n.candidate.run},
-		{Name: "reports", Run: n.report},
-		{Name: "housekeeping", Run: n.keepHouse},
+		{Name: "reports", Run: untilDrained(n.report)},
+		{Name: "housekeeping", Run: untilDrained(n.keepHouse)},
 	}
 	for _, f := range n.feeds {
-		duties = append(duties, kernel.Duty{Name: "feed " + f.prefix, Run: f.follow})
+		duties = append(duties, kernel.Duty{Name: "feed " + f.prefix, Run: untilDrained(f.follow)})
 	}
 	return duties
 }
--- a/internal/entry/reportframe.go
+++ b/internal/entry/reportframe.go
@@ -87,7 +87,7 @@
 
 // replyOf encodes what a host is told.
 func replyOf(shares map[string]demand.Shares, hosts demand.Hosts) *pb.ReportReply {
-	out := &pb.ReportReply{Hosts: uint32(hosts.Count), Cores: float32(hosts.Cores)}
+	out := &pb.ReportReply{Hosts: uint32(hosts.Count), Cores: float32(hosts.Cores), Fast: uint32(hosts.Fast)}
 	for name, s := range shares {
 		targets := make(map[string]*pb.TargetShare)
 		of := func(target string) *pb.TargetShare {
--- a/internal/entry/reports.go
+++ b/internal/entry/reports.go
@@ -58,7 +58,7 @@
 			continue
 		}
 		failing = false
-		n.setShares(sharesOf(reply), demand.Hosts{Count: int(reply.Hosts), Cores: float64(reply.Cores)})
+		n.setShares(sharesOf(reply), demand.Hosts{Count: int(reply.Hosts), Cores: float64(reply.Cores), Fast: int(reply.Fast)})
 		n.takeRelays(reply.Relays)
 		for _, s := range reply.Settled {
 			n.setSettled(s.Service, settledOf(s))
@@ -151,11 +151,13 @@
 // setShares takes in what the coordinator said of the targets. Without hosts,
 // nothing is known.
 func (n *Node) setShares(shares map[string]demand.Shares, hosts demand.Hosts) {
-	if count := int64(hosts.Count); count > 0 && n.hosts.Swap(count) != count {
+	if count := int64(hosts.Count); count > 0 {
 		n.candidate.setHosts(hosts)
-		n.mu.Lock()
-		n.targetsChanged()
-		n.mu.Unlock()
+		if n.hosts.Swap(count) != count {
+			n.mu.Lock()
+			n.targetsChanged()
+			n.mu.Unlock()
+		}
 	}
 	for name, s := range n.allServices() {
 		s.change(func(p *pool.Pool) { p.SetOthers(shares[name].Others, shares[name].Limit) })
--- a/internal/entry/term.go
+++ b/internal/entry/term.go
@@ -68,6 +68,7 @@
 	maps   map[string]*ownedMap // by service
 	down   map[keyrange.Owner]refusal
 	known  map[rangeKey]*rangeState
+	closed bool // no order is sent any more
 
 	gathering map[string]gathering // by service; used by run alone
 }
@@ -125,13 +126,13 @@
 	handover string
 }
 
+// newTerm returns the work of a term that begins now. c.mu is held.
 func newTerm(ctx context.Context, c *candidate) *term {
 	ctx, end := context.WithCancel(ctx)
-	now := leaseClock()
 	return &term{
 		candidate: c, n: c.n, ctx: ctx, end: end,
 		orders: wire.NewOrders(grantTimeout),
-		ledger: grants.NewLedger(now, grantTimeout-coordinator.DefaultTiming.Margin, longHold),
+		ledger: newLedger(c.election.Predecessor()),
 		maps:   make(map[string]*ownedMap),
 		down:   make(map[keyrange.Owner]refusal),
 		known:  make(map[rangeKey]*rangeState),
@@ -140,6 +141,39 @@
 	}
 }
 
+// newLedger returns the ledger of a coordinator that took over from the record that
+// it first saw at seenAt.
+func newLedger(before coordinator.Record, seenAt time.Duration) *grants.Ledger {
+	if !before.Resigned {
+		return grants.NewLedger(leaseClock(), grantTimeout-coordinator.DefaultTiming.Margin, longHold)
+	}
+	told := func(ms int64) time.Duration {
+		return seenAt + time.Duration(ms)*time.Millisecond + grants.Margin
+	}
+	return grants.NewLedgerAfter(grants.Floor{End: told(before.EndMs), Unclear: told(before.UnclearMs)})
+}
+
+// quiesce ends the sending of orders, waits until those under way are settled, and
+// returns until when they may count.
+func (t *term) quiesce() grants.Floor {
+	t.mu.Lock()
+	t.closed = true
+	t.mu.Unlock()
+	for until := leaseClock() + grantTimeout + underWayCheck; ; {
+		t.mu.Lock()
+		floor, ok := t.ledger.Floor()
+		t.mu.Unlock()
+		now := leaseClock()
+		if ok {
+			return floor
+		}
+		if now >= until || !sleep(t.ctx, underWayCheck) {
+			end := grants.End(now+grantTimeout, longHold)
+			return grants.Floor{End: end, Unclear: end}
+		}
+	}
+}
+
 // grantTimeout is for a grant's answer: a target answers at once, over at most
 // two round trips between regions.
 const grantTimeout = 600 * time.Millisecond
--- a/lease/coordinator/coordinator_test.go
+++ b/lease/coordinator/coordinator_test.go
@@ -11,7 +11,7 @@
 	"github.com/mangopost/mangopost/lease/coordinator"
 )
 
-var timing = coordinator.Timing{Term: 2500 * time.Millisecond, Margin: 400 * time.Millisecond, Renew: 800 * time.Millisecond}
+var timing = coordinator.Timing{Term: 2500 * time.Millisecond, Margin: 400 * time.Millisecond, Renew: 800 * time.Millisecond, Yield: time.Second}
 
 func record(host int) coordinator.Record {
 	return coordinator.Record{Holder: fmt.Sprintf("h%d", host), Run: int64(host), Addr: fmt.Sprintf("10.0.0.%d:1", host)}
@@ -72,6 +72,57 @@
 	assert.Equal(t, w.Expected, uint64(7))
 }
 
+// Pattern: the coordinator stops by plan, or gives the role to a host with more
+// room.
+func TestARoleThatWasGivenUpIsTakenAtOnce(t *testing.T) {
+	e := coordinator.New(record(1), timing)
+	e.Observe(0, 0, coordinator.Record{})
+	w, _ := e.Next(0)
+	e.Acknowledged(0, 0, 7, w)
+	w, ok := e.Resign(time.Second, 1500*time.Millisecond, time.Microsecond)
+	assert.Assert(t, ok)
+	assert.Assert(t, !e.Holds(time.Second), "it sends nothing from here on")
+	e.Acknowledged(time.Second, time.Second, 8, w)
+	assert.Assert(t, !e.Holds(time.Second))
+
+	other := coordinator.New(record(2), timing)
+	other.SetStagger(100 * time.Millisecond)
+	other.Observe(2*time.Second, 8, w.Record)
+	_, due := other.Next(2*time.Second + 99*time.Millisecond)
+	assert.Assert(t, !due)
+	taken, due := other.Next(2*time.Second + 100*time.Millisecond)
+	assert.Assert(t, due)
+	other.Acknowledged(2200*time.Millisecond, 2100*time.Millisecond, 9, taken)
+	before, seenAt := other.Predecessor()
+	assert.Equal(t, seenAt, 2*time.Second)
+	assert.Equal(t, before.EndMs, int64(1500))
+	assert.Equal(t, before.UnclearMs, int64(1), "rounded up")
+	assert.Assert(t, !taken.Record.Resigned)
+
+	_, due = e.Next(time.Second + timing.Term + timing.Margin)
+	assert.Assert(t, !due, "the others come first")
+	_, due = e.Next(time.Second + timing.Term + timing.Margin + timing.Yield)
+	assert.Assert(t, due, "nobody else took it")
+}
+
+// Pattern: the store was away for longer than a term, and all hosts ask at once
+// whether it is back. The fast ones are to be first, not the one that asks first.
+func TestHostsGoOneAfterTheOtherWhenTheStoreIsBack(t *testing.T) {
+	slow := coordinator.New(record(1), timing)
+	slow.SetStagger(3 * time.Second)
+	slow.Observe(0, 7, record(9))
+	_, due := slow.Next(6 * time.Second)
+	assert.Assert(t, due)
+	slow.Failed(6100 * time.Millisecond)
+	_, due = slow.Next(10 * time.Second)
+	assert.Assert(t, !due, "the store has not answered")
+	slow.Heard(11 * time.Second)
+	_, due = slow.Next(13900 * time.Millisecond)
+	assert.Assert(t, !due)
+	_, due = slow.Next(14 * time.Second)
+	assert.Assert(t, due)
+}
+
 func TestAnOldObservationIsPassedOver(t *testing.T) {
 	e := coordinator.New(record(2), timing)
 	e.Observe(0, 8, record(3))
@@ -131,6 +182,11 @@
 	if write, due := h.Next(w.now); due {
 		w.send(t, h, write)
 	}
+	if rapid.IntRange(0, 19).Draw(t, "resign") == 0 {
+		if write, ok := h.Resign(w.now, time.Second, 0); ok {
+			w.send(t, h, write)
+		}
+	}
 	if rapid.IntRange(0, 19).Draw(t, "freeze") == 0 {
 		h.frozenUntil = w.now + time.Duration(rapid.IntRange(100, 6000).Draw(t, "freeze ms"))*time.Millisecond
 	}
--- a/ownership/grants/ledger.go
+++ b/ownership/grants/ledger.go
@@ -45,14 +45,36 @@
 // not usable.
 type Ledger struct {
 	entries map[grantKey]*entry
-	floor   time.Duration // end of grants of earlier coordinators
+	floor   Floor
+}
+
+// Floor is until when grants of earlier coordinators may count.
+type Floor struct {
+	End     time.Duration // of every grant
+	Unclear time.Duration // of those without an answer, which may be applied after a release
 }
 
 // NewLedger returns the ledger of a coordinator that took over at now, when an
 // earlier one may have just sent a grant of at most hold whose connection it
 // would have reset after timeout.
 func NewLedger(now, timeout, hold time.Duration) *Ledger {
-	return &Ledger{entries: make(map[grantKey]*entry), floor: End(now+timeout, hold)}
+	end := End(now+timeout, hold)
+	return NewLedgerAfter(Floor{End: end, Unclear: end})
+}
+
+// NewLedgerAfter returns the ledger of a coordinator whose predecessor told until
+// when its grants may count.
+func NewLedgerAfter(f Floor) *Ledger { return &Ledger{entries: make(map[grantKey]*entry), floor: f} }
+
+// Floor returns until when the grants of this coordinator, and of those before it,
+// may count. ok is false while one is under way.
+func (l *Ledger) Floor() (f Floor, ok bool) {
+	f, ok = l.floor, true
+	for _, e := range l.entries {
+		f.End, f.Unclear = max(f.End, e.end), max(f.Unclear, e.unclear)
+		ok = ok && e.sending == 0
+	}
+	return f, ok
 }
 
 func (l *Ledger) entry(owner keyrange.Owner, fence uint64) *entry {
@@ -94,7 +116,7 @@
 func (l *Ledger) EndOf(owner keyrange.Owner, fence uint64) (end time.Duration, ok bool) {
 	k := grantKey{owner.Target, owner.Run, fence}
 	end, _, ok = l.sum(k)
-	return max(end, l.floorOf(k)), ok
+	return max(end, l.floorOf(k).End), ok
 }
 
 // EndOfUnclear returns the same for the grants that were not answered: they may
@@ -102,14 +124,14 @@
 func (l *Ledger) EndOfUnclear(owner keyrange.Owner, fence uint64) (end time.Duration, ok bool) {
 	k := grantKey{owner.Target, owner.Run, fence}
 	_, end, ok = l.sum(k)
-	return max(end, l.floorOf(k)), ok
+	return max(end, l.floorOf(k).Unclear), ok
 }
 
 // floorOf returns until when grants of earlier coordinators may count: whether
 // they were answered is not known, so a release does not end them.
-func (l *Ledger) floorOf(k grantKey) time.Duration {
+func (l *Ledger) floorOf(k grantKey) Floor {
 	if e := l.entries[k]; e != nil && e.fresh {
-		return 0
+		return Floor{}
 	}
 	return l.floor
 }
@@ -142,7 +164,7 @@
 func (l *Ledger) Forget(now time.Duration) {
 	for k, e := range l.entries {
 		e.before = slices.DeleteFunc(e.before, func(b grantKey) bool { return l.entries[b] == nil })
-		if e.sending == 0 && e.end < now && len(e.before) == 0 && (!e.fresh || l.floor < now) {
+		if e.sending == 0 && e.end < now && len(e.before) == 0 && (!e.fresh || l.floor.End < now) {
 			delete(l.entries, k)
 		}
 	}
--- a/ownership/grants/ledger_test.go
+++ b/ownership/grants/ledger_test.go
@@ -51,6 +51,26 @@
 	assert.Equal(t, unclear, grants.End(time.Minute+timeout, longest), "merged ranges keep it")
 }
 
+// A coordinator that gives the role up tells its successor what may still count.
+func TestASuccessorWaitsForWhatItWasTold(t *testing.T) {
+	l := grants.NewLedgerAfter(grants.Floor{End: 2 * time.Second, Unclear: time.Second})
+	_, ok := l.Floor()
+	assert.Assert(t, ok)
+	l.Sending(a, 7)
+	_, ok = l.Floor()
+	assert.Assert(t, !ok, "one is under way")
+	l.Answered(3*time.Second, a, 7, hold)
+	f, ok := l.Floor()
+	assert.Assert(t, ok)
+	assert.Equal(t, f.End, grants.End(3*time.Second, hold))
+	assert.Equal(t, f.Unclear, time.Second, "those of the coordinator before")
+	next := grants.NewLedgerAfter(f)
+	unclear, _ := next.EndOfUnclear(a, 7)
+	assert.Equal(t, unclear, time.Second)
+	end, _ := next.EndOf(a, 7)
+	assert.Equal(t, end, f.End)
+}
+
 func TestAGrantUnderWayHasNoEnd(t *testing.T) {
 	l := grants.NewLedger(-time.Hour, timeout, longest)
 	l.Sending(a, 7)
--- a/placement/demand/demand.go
+++ b/placement/demand/demand.go
@@ -133,8 +133,12 @@
 type Hosts struct {
 	Count int
 	Cores float64 // the most that one may use
+	Fast  int     // those that may use about as much
 }
 
+// fastPart is the part of the most cores from which on a host counts as fast.
+const fastPart = 0.75
+
 // Take takes a host's report in. It returns what to tell the host of each
 // service, and what is known of all hosts.
 func (t *Table) Take(now time.Duration, r Report, slots Slots) (shares map[string]Shares, hosts Hosts) {
@@ -153,6 +157,11 @@
 		hosts.Cores = max(hosts.Cores, h.Cores)
 		addUse(sums, h.Report)
 	}
+	for _, h := range t.reports {
+		if h.Cores >= fastPart*hosts.Cores {
+			hosts.Fast++
+		}
+	}
 	shares = make(map[string]Shares)
 	for name, d := range sums {
 		if s := d.shares(r.Services[name], slots(name), hosts.Count); len(s.Others)+len(s.Limit) > 0 {
