entry: hosts that start wait for the coordinator; probes of a store that is away may be stale

In outages each host asks about every two seconds, at full price. Now the fast hosts are first and the others find a coordinator with their first call and wait for what it relays: for 4 s when the whole system starts, before callers come, and for 0.4 s when a host starts later. A probe is one read with a tenth of the price.

--- a/internal/entry/candidate.go
+++ b/internal/entry/candidate.go
@@ -228,9 +228,9 @@
 	// nothing is known of the others.
 	fastCores = 0.8
 	// firstSlow and firstSpread order the first attempts of hosts that start
-	// together: fast ones come first.
-	firstSlow   = 600 * time.Millisecond
-	firstSpread = 300 * time.Millisecond
+	// together: fast ones come first, and the others find one of them.
+	firstSlow   = 1200 * time.Millisecond
+	firstSpread = 600 * time.Millisecond
 )
 
 // firstStagger returns how long a host waits before it may become the coordinator
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -37,9 +37,13 @@
 	// does not count: with a host's own call after it, it stays within the bound
 	// in which a configuration is in force.
 	relayAge = 1300 * time.Millisecond
-	// firstRelay is how long after its start a host waits for the coordinator
-	// before it asks the store for everything: an election and a report.
-	firstRelay = 1200 * time.Millisecond
+	// firstRelay is how long after the start of the whole system a host waits for the
+	// coordinator before it asks the store for everything: less than the time until
+	// callers come.
+	firstRelay = 4 * time.Second
+	// restartRelay is the same for a host that starts later, when callers may be
+	// waiting: two connections and a report between regions.
+	restartRelay = 400 * time.Millisecond
 	// relayCheck is how often a host looks whether it is still relayed to.
 	relayCheck = 150 * time.Millisecond
 	// ownersPause lets changes of owners that follow each other closely gather.
@@ -67,8 +71,7 @@
 	heard func()
 	// relist says that a watch that was interrupted begins with a listing.
 	relist bool
-	// awaits says that a host waits for the coordinator first when the whole
-	// system starts. Later, callers are waiting.
+	// awaits says that a host waits for the coordinator first when it starts.
 	awaits bool
 	lost   bool // the store did not answer the last call; used by follow alone
 
@@ -83,8 +86,12 @@
 // follow lists the objects of a feed and then watches them, while the coordinator
 // does not relay them.
 func (f *feed) follow(ctx context.Context) error {
-	if f.awaits && f.n.settings.Load().FirstStart {
-		f.awaitRelay(ctx)
+	if f.awaits {
+		f.awaitRelay(ctx, restartRelay)
+	}
+	if s := f.n.settings.Load(); !f.awaits && s.FirstStart {
+		// The first hosts make one of them the coordinator; the others find it.
+		sleep(ctx, firstStagger(s))
 	}
 	relayed := false
 	for ctx.Err() == nil {
@@ -109,7 +116,12 @@
 
 // ask makes one call to the store and notes what came of it.
 func (f *feed) ask(ctx context.Context, probe bool) {
-	err := f.once(ctx, probe)
+	var err error
+	if probe {
+		err = f.n.store.Probe(ctx, coordinatorObject)
+	} else {
+		err = f.once(ctx)
+	}
 	switch {
 	case ctx.Err() != nil:
 	case errors.Is(err, platform.ErrCompacted):
@@ -121,6 +133,8 @@
 		}
 		f.lost = true
 		f.n.gate.failed(steady(), probe)
+	case probe:
+		f.n.gate.answered()
 	default:
 		f.n.gate.answered()
 		if f.lost {
@@ -132,8 +146,11 @@
 }
 
 // awaitRelay gives the coordinator time to send what this host does not know.
-func (f *feed) awaitRelay(ctx context.Context) {
-	for steady() < firstRelay && !f.fresh() && !f.n.candidate.holds() && sleep(ctx, relayCheck/3) {
+func (f *feed) awaitRelay(ctx context.Context, limit time.Duration) {
+	if f.n.settings.Load().FirstStart {
+		limit = firstRelay
+	}
+	for until := steady() + limit; steady() < until && !f.fresh() && !f.n.candidate.holds() && sleep(ctx, relayCheck/3); {
 	}
 }
 
@@ -166,9 +183,8 @@
 	f.listed = false
 }
 
-// once makes one call to the store and takes its answer in. A probe does not wait
-// for changes.
-func (f *feed) once(ctx context.Context, probe bool) error {
+// once makes one call to the store and takes its answer in.
+func (f *feed) once(ctx context.Context) error {
 	f.mu.Lock()
 	listed, revision := f.listed, f.mirror.Revision()
 	f.mu.Unlock()
@@ -176,6 +192,9 @@
 		batch, err := f.n.store.List(ctx, f.prefix)
 		if err == nil {
 			f.take(batch, true, 0)
+			if f.n.candidate.holder().Addr != "" {
+				f.awaitRelay(ctx, restartRelay) // of what changes from here on
+			}
 		}
 		return err
 	}
@@ -183,9 +202,6 @@
 	if f.n.candidate.holds() {
 		wait = relayWait
 	}
-	if probe {
-		wait = 0
-	}
 	ctx, cancel := context.WithTimeout(ctx, wait+callTime)
 	defer cancel()
 	batch, err := f.n.store.Watch(ctx, f.prefix, revision)
