admission/pool: refused callers come back one after the other

Now each is given the next moment at which there is room for one more.

TestOnlyTheRequestsOfAFullOwnerWait looked at the last of 40 that arrive at once and wanted it back within two seconds; with one place after the other it is the first that comes back then, and the last when two slots have run 40 requests. Both are checked. TestRefusedCallersComeBackOneAfterTheOther fails before.

--- a/admission/pool/pool.go
+++ b/admission/pool/pool.go
@@ -140,6 +140,7 @@
 	settled map[keyrange.ID]bool // moves that are complete, beyond what owners says
 	waiting []Request            // by priority, then arrival
 	service estimate             // time of a request over all targets
+	returns returns              // of an unkeyed service
 
 	draining bool
 	now      time.Duration
@@ -369,8 +370,9 @@
 		if p.cfg.Keyed {
 			t, _ := p.owner(r.Key)
 			t.refused++
+			return p.refuse(now, r, Full, t.returns.next(now, wait, t.rate(p.cfg.Backlog))), true
 		}
-		return p.refuse(now, r, Full, wait), true
+		return p.refuse(now, r, Full, p.returns.next(now, wait, p.rate())), true
 	}
 	return Action{}, false
 }
@@ -404,18 +406,25 @@
 		}
 		return time.Duration(float64(ahead) / t.rate(p.cfg.Backlog) * float64(time.Second))
 	}
-	ahead, rate := 1, 0.0
+	ahead := 1
 	for _, w := range p.waiting {
 		if order(w, r) < 0 {
 			ahead++
 		}
 	}
+	return time.Duration(float64(ahead) / p.rate() * float64(time.Second))
+}
+
+// rate is the number of requests a second that this host may get through at near
+// targets.
+func (p *Pool) rate() float64 {
+	rate := 0.0
 	for _, t := range p.targets {
 		if !t.Leaving && t.Distance != Far {
 			rate += t.rate(p.cfg.Backlog)
 		}
 	}
-	return time.Duration(float64(ahead) / max(rate, 1) * float64(time.Second))
+	return max(rate, 1)
 }
 
 // moving reports whether the key is on its way to an owner that may take work: it
--- a/admission/pool/target.go
+++ b/admission/pool/target.go
@@ -47,6 +47,7 @@
 	share     float64       // of the requests that it runs at once; 0: no limit
 	notBefore time.Duration // gets the next request of a share below one
 	refused   int           // requests for its keys that were refused as it was full
+	returns   returns       // of those
 	window    float64       // requests of this host that it may run
 	service   estimate
 	unloaded  estimate      // of requests that found a free slot
