admission/pool, routing: targets that shed at random stay in use; retries use what their window left

Each shed answer cooled the target and shrank its window, as for one that is full, so hosts refused 1,500 to 2,900 requests as 'full' in two seconds (of some 2,500 that arrived) at targets that were idle, and reported them as demand, which divided the targets' slots among the hosts. Now a shed answer counts as lack of room only while a quarter of the requests that found a free slot are not shed, at this target or over all of them. The owner of a key may be asked again within maxAttempts, as it is one target. The hosts use 0.75 of the ratio and half of the slack (0.6 of each before), and the slack follows the number of hosts. Ruled out: hot keys (over by 11 s), connections at a target (one of 90 a host).

--- a/admission/pool/pool.go
+++ b/admission/pool/pool.go
@@ -11,6 +11,7 @@
 //     answer decides, learned from the answers;
 //   - targets that shed, hang or fail: their window closes at once and opens
 //     again with each good answer;
+//   - targets that shed at random: their window stays, as they have room;
 //   - keys whose owner is full: only the requests of that owner wait.
 package pool
 
@@ -142,6 +143,7 @@
 	service estimate             // time of a request over all targets
 	returns returns              // of an unkeyed service
 
+	shedding float64 // as that of a target, over all of them
 	draining bool
 	now      time.Duration
 	unheld   map[uint64]time.Duration // by fence: the owner did not hold its keys; not asked before
@@ -571,7 +573,16 @@
 		return
 	}
 	t.running = max(0, t.running-1)
-	t.finish(now, took, result, p.cfg)
+	arbitrary := false
+	if shed := result == Shed; t.free() && (shed || result == Answered) {
+		arbitrary = shed && max(p.shedding, t.shedding) >= arbitraryShare
+		t.noteShedding(shed)
+		p.shedding *= 1 - smoothing
+		if shed {
+			p.shedding += smoothing
+		}
+	}
+	t.finish(now, took, result, arbitrary, p.cfg)
 	if result == Answered {
 		p.service.add(took)
 	}
--- a/admission/pool/pool_test.go
+++ b/admission/pool/pool_test.go
@@ -158,6 +158,30 @@
 	assert.Equal(t, started(t, p.Tick(80*ms)), "a")
 }
 
+// Pattern: every target of a service sheds half of what it is sent, whether or not
+// it has room. What it is sent must not shrink to a request now and then.
+func TestTargetsThatShedAtRandomStayInUse(t *testing.T) {
+	p := keyed(target("a", 6, pool.SameZone), target("b", 6, pool.SameZone))
+	refused := 0
+	for i := range 400 {
+		now := time.Duration(i) * 20 * ms
+		r := request(uint64(i), now)
+		r.Key = (i % 2) * 60000
+		for _, a := range append(p.Arrive(now, r), p.Tick(now)...) {
+			switch {
+			case !a.Start:
+				refused++
+			case i/2%2 == 0:
+				p.Finish(now+5*ms, a.Target, 5*ms, pool.Shed)
+			default:
+				p.Finish(now+15*ms, a.Target, 15*ms, pool.Answered)
+			}
+		}
+	}
+	assert.Assert(t, refused < 10, "%d of 400 requests refused", refused)
+	assert.Equal(t, len(p.Arrive(time.Minute, request(1000, time.Minute))), 1, "nothing waits for the target to cool")
+}
+
 // Pattern: a target hangs: one request at a time until it answers again.
 func TestAHangingTargetGetsAProbe(t *testing.T) {
 	p := unkeyed(target("a", 4, pool.SameZone))
--- a/admission/pool/target.go
+++ b/admission/pool/target.go
@@ -16,6 +16,9 @@
 	// failureCost multiplies the expected time of a target that fails all it is
 	// sent: a failed request is sent again or lost.
 	failureCost = 8
+	// arbitraryShare is the share of requests that are shed at targets with room from
+	// which on this is not taken for a lack of room.
+	arbitraryShare = 0.25
 	// coldFactor is how much longer a target takes that started just now.
 	coldFactor = 2
 	// unreachablePause is how long a target that could not be connected to gets
@@ -52,6 +55,7 @@
 	service   estimate
 	unloaded  estimate      // of requests that found a free slot
 	failures  float64       // smoothed share of requests that failed
+	shedding  float64       // smoothed share of requests that were shed though there seemed to be room
 	coolUntil time.Duration // gets nothing before
 	coldUntil time.Duration
 }
@@ -123,7 +127,22 @@
 	return c + cfg.Penalty[t.Distance].Seconds()
 }
 
-func (t *target) finish(now, took time.Duration, result Result, cfg Config) {
+// free reports whether a slot seems to be free, as far as this host knows.
+func (t *target) free() bool {
+	return t.share == 0 && float64(t.running)+t.others < float64(max(1, t.Slots))
+}
+
+// noteShedding takes in whether a request that found a free slot was shed.
+func (t *target) noteShedding(shed bool) {
+	t.shedding *= 1 - smoothing
+	if shed {
+		t.shedding += smoothing
+	}
+}
+
+// finish takes in what became of a request. arbitrary says that the target sheds
+// whether or not it has room, so that fewer requests would not help it.
+func (t *target) finish(now, took time.Duration, result Result, arbitrary bool, cfg Config) {
 	switch result {
 	case Answered:
 		t.failures *= 1 - smoothing
@@ -136,6 +155,9 @@
 	case Abandoned, NotOwner:
 		return
 	case Shed:
+		if arbitrary {
+			break
+		}
 		t.window = max(1, shrink*t.window)
 		t.coolUntil = max(t.coolUntil, now+cfg.Cooling)
 	case Unreachable:
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/textproto"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -166,7 +167,7 @@
 		if c.delivered(a, t) {
 			return
 		}
-		if why := c.mayRetry(t); why != routing.RetryAllowed {
+		if why := c.mayRetry(a, t); why != routing.RetryAllowed {
 			c.giveUp(a, t, why)
 			return
 		}
@@ -229,7 +230,7 @@
 }
 
 // mayRetry decides on another try after one that brought no final answer.
-func (c *call) mayRetry(t try) routing.RetryReason {
+func (c *call) mayRetry(a pool.Action, t try) routing.RetryReason {
 	outcome := routing.Classify(t.reply)
 	if outcome == routing.OutcomeRan {
 		outcome = routing.OutcomeUnknown // a failure of an idempotent request
@@ -237,15 +238,20 @@
 	if t.result == pool.Unreachable {
 		return c.mayConnectElsewhere()
 	}
-	tries := len(c.tried) + 1
-	if tries >= c.route.MaxAttempts && t.result != pool.NotOwner || c.moved >= misdirected {
+	// The owner of a key may be asked again: it is one target, however often it sheds.
+	targets := len(slices.Compact(slices.Sorted(slices.Values(append(slices.Clip(c.tried), a.Target.Target)))))
+	tooMany := targets >= c.route.MaxAttempts && t.result != pool.NotOwner
+	if tooMany || len(c.tried)+1 >= maxSends || c.moved >= misdirected {
 		return routing.RetryTries
 	}
 	return c.service.mayRetry(steady(), routing.Attempt{
-		Outcome: outcome, Idempotent: c.route.Idempotent, Deadline: c.deadline, Expected: minExpected, Tries: min(tries, routing.MaxTries-1),
+		Outcome: outcome, Idempotent: c.route.Idempotent, Deadline: c.deadline, Expected: minExpected, Tries: 1,
 	})
 }
 
+// maxSends bounds how often a request is sent, also to the same target.
+const maxSends = 5
+
 // minExpected is the least time in which a further try can bring an answer.
 const minExpected = 40 * time.Millisecond
 
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -27,9 +27,12 @@
 	// assumedHosts is the number of hosts that share limits until the coordinator
 	// has told it: the largest of today's sites.
 	assumedHosts = 12
-	// retryShare is the part of the common retry budget that the hosts use, so that
-	// the calls of targets and uneven shares stay within it.
-	retryShare = 0.6
+	// retryShare is the part of the common ratio of retries that the hosts use, so
+	// that the calls of targets stay within it.
+	retryShare = 0.75
+	// slackShare is the part of the retries beside the ratio that the hosts use: how
+	// many hosts share them is known late.
+	slackShare = 0.5
 	// connectionShare is the part of a target's connections that the hosts use.
 	connectionShare = 0.85
 )
@@ -230,12 +233,14 @@
 }
 
 // retryBudget returns this host's share of the common retry budget.
-func (n *Node) retryBudget() routing.BudgetConfig {
+func (n *Node) retryBudget() *routing.SlidingBudget {
 	b := n.settings.Load().Bounds
-	return routing.BudgetConfig{
-		Ratio: retryShare * b.RetryRatio,
-		Burst: max(1, retryShare*b.RetrySlack/float64(n.hosts.Load())),
-	}
+	return routing.NewSlidingBudget(routing.BudgetConfig{Ratio: retryShare * b.RetryRatio, Burst: n.retryBurst()}, b.RetryWindow)
+}
+
+// retryBurst returns this host's share of the retries beside the ratio.
+func (n *Node) retryBurst() float64 {
+	return max(1, slackShare*n.settings.Load().Bounds.RetrySlack/float64(n.hosts.Load()))
 }
 
 // targetsChanged passes what is believed of targets on to the pools. mu is held.
--- a/internal/entry/reports.go
+++ b/internal/entry/reports.go
@@ -157,6 +157,9 @@
 			n.mu.Lock()
 			n.targetsChanged()
 			n.mu.Unlock()
+			for _, s := range n.allServices() {
+				s.setRetryBurst(n.retryBurst())
+			}
 		}
 	}
 	for name, s := range n.allServices() {
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -23,11 +23,11 @@
 	waiters  map[uint64]chan pool.Action
 	arrivals map[int]int // requests by key since the last report
 	reported int         // reports since the times of requests were in one
-	budget   *routing.Budget
+	budget   *routing.SlidingBudget
 	timer    *time.Timer // runs while requests wait
 }
 
-func newService(s routing.Service, budget routing.BudgetConfig) *service {
+func newService(s routing.Service, budget *routing.SlidingBudget) *service {
 	cfg := pool.DefaultConfig
 	cfg.Keyed = s.Keyed
 	return &service{
@@ -36,7 +36,7 @@
 		pool:     pool.New(cfg),
 		waiters:  make(map[uint64]chan pool.Action),
 		arrivals: make(map[int]int),
-		budget:   routing.NewBudget(budget),
+		budget:   budget,
 	}
 }
 
@@ -125,7 +125,7 @@
 func (s *service) first(key int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.budget.First()
+	s.budget.First(steady())
 	if s.keyed {
 		s.arrivals[key]++
 	}
@@ -135,7 +135,14 @@
 func (s *service) mayRetry(now time.Duration, a routing.Attempt) routing.RetryReason {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return routing.MayRetry(now, a, s.budget)
+	return routing.MayRetry(now, a, s.budget.At(now))
+}
+
+// setRetryBurst takes in how many retries beside the ratio this host may use.
+func (s *service) setRetryBurst(burst float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.budget.SetBurst(burst)
 }
 
 // takeArrivals returns the requests by key since the last call.
--- a/routing/retry.go
+++ b/routing/retry.go
@@ -11,6 +11,12 @@
 // DefaultBudget lets a tenth of the requests be tried again.
 var DefaultBudget = BudgetConfig{Ratio: 0.1, Burst: 10}
 
+// Taker is a budget of retries.
+type Taker interface {
+	// Take uses up one retry and reports whether there was one.
+	Take() bool
+}
+
 // Budget is a token bucket that first tries fill and retries empty. However
 // many requests fail, retries add at most Ratio to the load, after a burst. It
 // is not safe for concurrent use.
@@ -98,7 +104,7 @@
 
 // MayRetry decides whether a request is tried again, and takes from the budget
 // if it is.
-func MayRetry(now time.Duration, a Attempt, budget *Budget) RetryReason {
+func MayRetry(now time.Duration, a Attempt, budget Taker) RetryReason {
 	switch {
 	case a.Outcome == OutcomeRan:
 		return RetryRan
