placement/demand: hosts thin the requests of an owner that has too many, all by the same part

Cause, from a test that lets 9 to 90 hosts send to one owner of 3 slots with the reports that they make (TestABusyOwnerServesAllHosts): an owner with too many requests was divided among the hosts by concurrent requests, a fraction of one for each. Now the coordinator tells all hosts which part of the requests for an owner's keys may be sent, from the load of its keys and what it gets through, less while more than twice its slots is there. A host that knows nothing of the others sends at most four times its even part. Services without keys are shared as before.

--- a/admission/pool/pool.go
+++ b/admission/pool/pool.go
@@ -47,6 +47,7 @@
 	NoOwner time.Duration    // how long requests wait for an owner of their key, unless one is about to get it
 	Lost    time.Duration    // how long keys have no owner after theirs was lost
 	Cooling time.Duration    // without new work after a target shed
+	Phase   float64          // 0 to 1, another for each host: when it sends of what only a part may be sent
 }
 
 // DefaultConfig holds for a service without keys.
@@ -143,6 +144,7 @@
 	service estimate             // time of a request over all targets
 	returns returns              // of an unkeyed service
 
+	hosts    int     // that have requests for the targets; 0: not known
 	shedding float64 // as that of a target, over all of them
 	draining bool
 	now      time.Duration
@@ -231,6 +233,17 @@
 	}
 }
 
+// SetAdmission takes in which part of the requests for the keys of each owner may
+// be sent, where there are more than it gets through.
+func (p *Pool) SetAdmission(parts map[string]float64) {
+	for name, t := range p.targets {
+		t.admit = parts[name]
+	}
+}
+
+// SetHosts takes in how many hosts have requests for the targets.
+func (p *Pool) SetHosts(count int) { p.hosts = count }
+
 // Running returns the requests that this host runs at each target.
 func (p *Pool) Running() map[string]int {
 	out := make(map[string]int, len(p.targets))
@@ -295,6 +308,9 @@
 // Arrive decides on a request. No action for its ID means that it waits.
 func (p *Pool) Arrive(now time.Duration, r Request) []Action {
 	p.now = now
+	if a, refused := p.thin(now, r); refused {
+		return []Action{a}
+	}
 	if now >= r.NotUntil {
 		if t, fence, ok := p.pick(now, r); ok && !p.blocked(r) {
 			return []Action{p.start(now, t, fence, r)}
@@ -316,6 +332,21 @@
 	return []Action{p.refuse(now, last, Urgent, p.expectedWait(last))}
 }
 
+// thin refuses a part of the requests for keys of which there are more than their
+// owner gets through.
+func (p *Pool) thin(now time.Duration, r Request) (Action, bool) {
+	if !p.cfg.Keyed || len(r.Tried) > 0 || r.NotUntil > 0 {
+		return Action{}, false
+	}
+	t, _ := p.owner(r.Key)
+	if t == nil || t.admits(p.cfg.Phase) {
+		return Action{}, false
+	}
+	t.refused++
+	part := float64(max(1, t.Slots)) / p.serviceAt(t).Seconds() / float64(max(1, p.hosts))
+	return p.refuse(now, r, Full, t.returns.next(now, p.serviceAt(t), part)), true
+}
+
 func order(a, b Request) int {
 	return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.Arrived, b.Arrived), cmp.Compare(a.ID, b.ID))
 }
@@ -488,7 +519,7 @@
 func (p *Pool) pick(now time.Duration, r Request) (*target, uint64, bool) {
 	if p.cfg.Keyed {
 		t, fence := p.owner(r.Key)
-		if t == nil || !t.room(now, p.cfg.Backlog) {
+		if t == nil || !t.room(now, p.cfg.Backlog, p.hosts) {
 			return nil, 0, false
 		}
 		return t, fence, true
@@ -496,7 +527,7 @@
 	var best *target
 	bestCost := math.Inf(1)
 	for _, t := range p.targets {
-		if t.Leaving || !t.room(now, p.cfg.Backlog) || slices.Contains(r.Tried, t.Owner.Target) {
+		if t.Leaving || !t.room(now, p.cfg.Backlog, 0) || slices.Contains(r.Tried, t.Owner.Target) {
 			continue
 		}
 		c := t.cost(now, p.cfg)
--- a/admission/pool/target.go
+++ b/admission/pool/target.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"math"
 	"time"
 )
 
@@ -21,6 +22,9 @@
 	arbitraryShare = 0.25
 	// coldFactor is how much longer a target takes that started just now.
 	coldFactor = 2
+	// spread is how many times its even part of a target's requests a host may have
+	// there while it does not know what others have.
+	spread = 4
 	// unreachablePause is how long a target that could not be connected to gets
 	// nothing.
 	unreachablePause = 300 * time.Millisecond
@@ -49,6 +53,8 @@
 	others    float64       // requests of all other hosts, as last reported
 	share     float64       // of the requests that it runs at once; 0: no limit
 	notBefore time.Duration // gets the next request of a share below one
+	admit     float64       // part of the requests for its keys that may be sent; 0: all
+	credit    float64       // of that part, up to a request
 	refused   int           // requests for its keys that were refused as it was full
 	returns   returns       // of those
 	window    float64       // requests of this host that it may run
@@ -79,7 +85,7 @@
 
 // room reports whether one more request may be sent. One is always allowed, as
 // what others run is known late.
-func (t *target) room(now time.Duration, backlog float64) bool {
+func (t *target) room(now time.Duration, backlog float64, hosts int) bool {
 	if now < t.coolUntil || t.Limit > 0 && t.running >= t.Limit {
 		return false
 	}
@@ -90,9 +96,27 @@
 		return true
 	}
 	n := float64(t.running + 1)
+	if most := t.capacity(backlog); hosts > 1 && n > max(1, math.Ceil(spread*most/float64(hosts))) {
+		return false
+	}
 	return n <= t.window && n+t.others <= t.capacity(backlog)
 }
 
+// admits reports whether one more request for the target's keys may be sent, of
+// which there are more than it gets through: every so many-th one.
+func (t *target) admits(phase float64) bool {
+	if t.admit <= 0 || t.admit >= 1 {
+		t.credit = phase
+		return true
+	}
+	t.credit += t.admit
+	if t.credit < 1 {
+		return false
+	}
+	t.credit--
+	return true
+}
+
 // started notes a start. With a share below one, the next one waits until this one
 // has taken its part of the time.
 func (t *target) started(now, service time.Duration) {
--- a/internal/entry/candidate.go
+++ b/internal/entry/candidate.go
@@ -81,10 +81,12 @@
 	if hosts.Fast > 0 && s.Cores*fasterHost > hosts.Cores {
 		peers = hosts.Fast
 	}
-	place := float64(xxhash.Sum64String(s.Host)%1000) / 1000
-	return time.Duration(slow*float64(slowStagger)) + time.Duration(place*float64(peers)*float64(hostStagger))
+	return time.Duration(slow*float64(slowStagger)) + time.Duration(place(s.Host)*float64(peers)*float64(hostStagger))
 }
 
+// place returns a number from 0 to 1 that differs from host to host.
+func place(host string) float64 { return float64(xxhash.Sum64String(host)%1000) / 1000 }
+
 // setHosts takes in what is known of all hosts.
 func (c *candidate) setHosts(hosts demand.Hosts) {
 	c.mu.Lock()
@@ -161,6 +163,13 @@
 	return c.demand.Loads(steady(), service)
 }
 
+// setOwned takes in the requests a second for the keys of each owner.
+func (c *candidate) setOwned(service string, loads map[string]float64) {
+	c.demandMu.Lock()
+	defer c.demandMu.Unlock()
+	c.demand.SetOwned(service, loads)
+}
+
 // capacity returns the requests a second that a target gets through.
 func (c *candidate) capacity(service, target string, slots int) float64 {
 	c.demandMu.Lock()
@@ -237,8 +246,7 @@
 // when the whole system starts.
 func firstStagger(s *platform.Settings) time.Duration {
 	slow := 1 - min(1, s.Cores/fastCores)
-	place := float64(xxhash.Sum64String(s.Host)%1000) / 1000
-	return time.Duration(slow*float64(firstSlow)) + time.Duration(place*float64(firstSpread))
+	return time.Duration(slow*float64(firstSlow)) + time.Duration(place(s.Host)*float64(firstSpread))
 }
 
 // run takes, renews and uses the lease until ctx ends.
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -221,7 +221,7 @@
 	}
 	for name, s := range t.Services {
 		if old := n.services[name]; old == nil || old.keyed != s.Keyed {
-			n.services[name] = newService(s, n.retryBudget())
+			n.services[name] = newService(s, n.retryBudget(), place(n.settings.Load().Host))
 		}
 	}
 	n.table.Store(t)
--- a/internal/entry/reportframe.go
+++ b/internal/entry/reportframe.go
@@ -102,6 +102,9 @@
 		for target, limit := range s.Limit {
 			of(target).Share = float32(limit)
 		}
+		for target, part := range s.Admit {
+			of(target).Admit = float32(part)
+		}
 		service := &pb.ServiceShare{Service: name}
 		for _, t := range targets {
 			service.Targets = append(service.Targets, t)
@@ -114,12 +117,15 @@
 func sharesOf(in *pb.ReportReply) map[string]demand.Shares {
 	out := make(map[string]demand.Shares)
 	for _, s := range in.Services {
-		shares := demand.Shares{Others: make(map[string]float64), Limit: make(map[string]float64)}
+		shares := demand.Shares{Others: make(map[string]float64), Limit: make(map[string]float64), Admit: make(map[string]float64)}
 		for _, t := range s.Targets {
 			shares.Others[t.Target] = float64(t.Others)
 			if t.Share > 0 {
 				shares.Limit[t.Target] = float64(t.Share)
 			}
+			if t.Admit > 0 {
+				shares.Admit[t.Target] = float64(t.Admit)
+			}
 		}
 		out[s.Service] = shares
 	}
--- a/internal/entry/reports.go
+++ b/internal/entry/reports.go
@@ -163,7 +163,11 @@
 		}
 	}
 	for name, s := range n.allServices() {
-		s.change(func(p *pool.Pool) { p.SetOthers(shares[name].Others, shares[name].Limit) })
+		s.change(func(p *pool.Pool) {
+			p.SetOthers(shares[name].Others, shares[name].Limit)
+			p.SetAdmission(shares[name].Admit)
+			p.SetHosts(int(n.hosts.Load()))
+		})
 	}
 }
 
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -27,9 +27,9 @@
 	timer    *time.Timer // runs while requests wait
 }
 
-func newService(s routing.Service, budget *routing.SlidingBudget) *service {
+func newService(s routing.Service, budget *routing.SlidingBudget, phase float64) *service {
 	cfg := pool.DefaultConfig
-	cfg.Keyed = s.Keyed
+	cfg.Keyed, cfg.Phase = s.Keyed, phase
 	return &service{
 		name:     s.Name,
 		keyed:    s.Keyed,
--- a/internal/entry/term.go
+++ b/internal/entry/term.go
@@ -267,8 +267,10 @@
 	case owned.keys == nil:
 		return t.createMap(service, targets)
 	}
+	loads := t.candidate.loads(service)
+	t.candidate.setOwned(service, hotrange.Owned(owned.keys, loads))
 	moves := hotrange.Plan(hotrange.State{
-		Map: owned.keys, Targets: targets, Loads: t.candidate.loads(service), Fixed: t.fixed(service),
+		Map: owned.keys, Targets: targets, Loads: loads, Fixed: t.fixed(service),
 	}, t.limits(owned.keys, len(targets)))
 	if len(moves) == 0 {
 		t.moveAll(service)
--- a/placement/demand/demand.go
+++ b/placement/demand/demand.go
@@ -30,6 +30,13 @@
 	// fullShare is the part of a target's slots that may be asked for before they
 	// are divided among the hosts: what waits there keeps its slots busy.
 	fullShare = 1.5
+	// admitLoad is the part of its capacity up to which an owner of keys is sent
+	// requests: a little more than it gets through, so that it is never idle, while
+	// admitRunning bounds what gathers there.
+	admitLoad = 1.2
+	// admitRunning is the number of requests at an owner, as a multiple of its slots,
+	// from which on it is sent fewer.
+	admitRunning = 2
 	// leastShare is the part of an even share that a host without requests gets,
 	// so that its first one need not wait for a report.
 	leastShare = 0.25
@@ -54,6 +61,7 @@
 type Shares struct {
 	Others map[string]float64 // requests of other hosts, by busy target
 	Limit  map[string]float64 // requests that the host may run, by full target
+	Admit  map[string]float64 // part of the requests that may be sent, by owner of keys that are asked for too often
 }
 
 // Slots returns the slots of a service's targets.
@@ -66,6 +74,7 @@
 	loads    map[string]*hotrange.Loads
 	decayed  time.Duration
 	measured map[string]map[string]float64 // seconds, by service and target
+	owned    map[string]map[string]float64 // requests a second for the keys of each owner, by service
 }
 
 type timed struct {
@@ -80,9 +89,38 @@
 		reports:  make(map[string]timed),
 		loads:    make(map[string]*hotrange.Loads),
 		measured: make(map[string]map[string]float64),
+		owned:    make(map[string]map[string]float64),
 	}
 }
 
+// SetOwned takes in the requests a second for the keys of each owner of a keyed
+// service.
+func (t *Table) SetOwned(service string, loads map[string]float64) { t.owned[service] = loads }
+
+// admit returns the part of the requests that each owner with too many may be
+// sent. All hosts get the same part: whichever they are, together they send what
+// the owner gets through, however few come to each.
+func (t *Table) admit(service string, running map[string]float64, slots map[string]int) map[string]float64 {
+	out := make(map[string]float64)
+	for target, load := range t.owned[service] {
+		count := slots[target]
+		if count == 0 {
+			continue
+		}
+		part := 1.0
+		if most := admitLoad * t.Capacity(service, target, count); load > most {
+			part = most / load
+		}
+		if most := admitRunning * float64(count); running[target] > most {
+			part *= most / running[target]
+		}
+		if part < 1 {
+			out[target] = part
+		}
+	}
+	return out
+}
+
 // Loads returns a copy of the loads of a service's keys.
 func (t *Table) Loads(now time.Duration, service string) *hotrange.Loads {
 	t.decay(now)
@@ -164,7 +202,11 @@
 	}
 	shares = make(map[string]Shares)
 	for name, d := range sums {
-		if s := d.shares(r.Services[name], slots(name), hosts.Count); len(s.Others)+len(s.Limit) > 0 {
+		s := d.shares(r.Services[name], slots(name), hosts.Count)
+		if t.owned[name] != nil {
+			s.Limit, s.Admit = nil, t.admit(name, d.running, slots(name))
+		}
+		if len(s.Others)+len(s.Limit)+len(s.Admit) > 0 {
 			shares[name] = s
 		}
 	}
--- /dev/null
+++ b/placement/demand/shared_test.go
@@ -0,0 +1,143 @@
+package demand_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/mangopost/mangopost/admission/pool"
+	"github.com/mangopost/mangopost/ownership/keyrange"
+	"github.com/mangopost/mangopost/placement/demand"
+)
+
+// sharedTarget is a target that runs requests in the order of their arrival.
+type sharedTarget struct {
+	slots   int
+	work    time.Duration
+	queue   []sharedRequest
+	running []sharedRequest
+}
+
+type sharedRequest struct {
+	host  int
+	id    uint64
+	sent  time.Duration
+	ends  time.Duration
+	owner keyrange.Owner
+}
+
+// step ends what is done by now and starts what waits.
+func (s *sharedTarget) step(now time.Duration) (done []sharedRequest) {
+	kept := s.running[:0]
+	for _, r := range s.running {
+		if r.ends <= now {
+			done = append(done, r)
+		} else {
+			kept = append(kept, r)
+		}
+	}
+	s.running = kept
+	for len(s.running) < s.slots && len(s.queue) > 0 {
+		r := s.queue[0]
+		s.queue, r.ends = s.queue[1:], now+s.work
+		s.running = append(s.running, r)
+	}
+	return done
+}
+
+// shareOut lets hosts send requests for one owner, with reports as the processes
+// make them, and returns the parts that were refused, and answered in time.
+func shareOut(hosts int, load float64, seconds int) (refused, inTime float64, deepest int) {
+	const step = 5 * time.Millisecond
+	random := rand.New(rand.NewPCG(7, uint64(hosts)))
+	target := &sharedTarget{slots: 3, work: 140 * time.Millisecond}
+	owner := keyrange.Owner{Target: "a", Run: 1}
+	table := demand.NewTable(1200 * time.Millisecond)
+	var pools []*pool.Pool
+	for host := range hosts {
+		cfg := pool.DefaultConfig
+		cfg.Keyed = true
+		cfg.Phase = float64(host) / float64(hosts)
+		p := pool.New(cfg)
+		p.SetTargets(0, []pool.Target{{Owner: owner, Slots: target.slots}})
+		p.SetOwners(keyrange.New("s", []keyrange.Owner{owner}, []float64{1}))
+		pools = append(pools, p)
+	}
+	asked, turned, early := 0, 0, 0
+	keys := make([]int, hosts)
+	arrived := make(map[uint64]time.Duration)
+	act := func(now time.Duration, host int, actions []pool.Action) {
+		for _, a := range actions {
+			if !a.Start {
+				turned++
+				continue
+			}
+			target.queue = append(target.queue, sharedRequest{host: host, id: a.ID, sent: now, owner: a.Target})
+			deepest = max(deepest, len(target.queue))
+		}
+	}
+	rate := load * float64(target.slots) / target.work.Seconds() // a second
+	for now := time.Duration(0); now < time.Duration(seconds)*time.Second; now += step {
+		for _, r := range target.step(now) {
+			pools[r.host].Finish(now, r.owner, now-r.sent, pool.Answered)
+			if now-arrived[r.id] <= 600*time.Millisecond {
+				early++
+			}
+			act(now, r.host, pools[r.host].Tick(now))
+		}
+		if now%(300*time.Millisecond) == 0 {
+			table.SetOwned("s", map[string]float64{"a": table.Loads(now, "s").Rate(0)})
+		}
+		for host, p := range pools {
+			if random.Float64() < rate*step.Seconds()/float64(hosts) {
+				asked++
+				keys[host]++
+				id := uint64(asked)
+				arrived[id] = now
+				act(now, host, p.Arrive(now, pool.Request{ID: id, Arrived: now, Goal: now + 600*time.Millisecond, Deadline: now + 1500*time.Millisecond}))
+			}
+			if now%(20*time.Millisecond) == 0 {
+				act(now, host, p.Tick(now))
+			}
+			if (now+time.Duration(host)*30*time.Millisecond)%(400*time.Millisecond) == 0 {
+				use := demand.Use{Keys: map[int]int{0: keys[host]}, Running: p.Running(), Wanted: p.Wanted(400 * time.Millisecond), Seconds: p.Speeds()}
+				keys[host] = 0
+				shares, _ := table.Take(now, demand.Report{Host: fmt.Sprint(host), Services: map[string]demand.Use{"s": use}},
+					func(string) map[string]int { return map[string]int{"a": target.slots} })
+				p.SetOthers(shares["s"].Others, shares["s"].Limit)
+				p.SetAdmission(shares["s"].Admit)
+				p.SetHosts(hosts)
+			}
+		}
+	}
+	return float64(turned) / float64(asked), float64(early) / float64(asked), deepest
+}
+
+// Pattern: 12 or 58 hosts have requests for the keys of one owner, at four fifths
+// of what it gets through, by chance more for a moment. Nearly all are answered in
+// time, and the owner's queue stays short.
+func TestABusyOwnerServesAllHosts(t *testing.T) {
+	for _, hosts := range []int{12, 58} {
+		refused, inTime, deepest := shareOut(hosts, 0.8, 60)
+		t.Logf("%d hosts: %.3f refused, %.3f in time, queue %d", hosts, refused, inTime, deepest)
+		assert.Assert(t, refused < 0.05, "%d hosts: %.3f refused", hosts, refused)
+		assert.Assert(t, inTime > 0.9, "%d hosts: %.3f in time", hosts, inTime)
+		assert.Assert(t, deepest <= 12, "%d hosts: queue of %d", hosts, deepest)
+	}
+}
+
+// Pattern: the same with twice what the owner gets through. It is kept busy with
+// requests that are answered in time, however few of them come to each host, and
+// the others are refused at once.
+func TestAnOwnerWithTooMuchRunsWhatItCan(t *testing.T) {
+	for _, hosts := range []int{9, 12, 58, 90} {
+		refused, inTime, deepest := shareOut(hosts, 2, 60)
+		t.Logf("%d hosts: %.3f refused, %.3f in time, queue %d", hosts, refused, inTime, deepest)
+		assert.Assert(t, inTime > 0.4, "%d hosts: %.3f in time, of 0.5", hosts, inTime)
+		// Until the first reports each host knows only of its own requests.
+		assert.Assert(t, deepest <= 24, "%d hosts: queue of %d", hosts, deepest)
+	}
+}
--- a/placement/hotrange/loads.go
+++ b/placement/hotrange/loads.go
@@ -57,6 +57,9 @@
 	return rate
 }
 
+// Rate returns the rate of a key, in requests a second.
+func (l *Loads) Rate(key int) float64 { return l.of(key) }
+
 // of returns the rate of a key.
 func (l *Loads) of(key int) float64 {
 	rate, burst := l.rate[key], l.burst[key]
@@ -66,6 +69,16 @@
 	return float64(rate)
 }
 
+// Owned returns the load of the keys of each target, in requests a second.
+func Owned(m *keyrange.Map, l *Loads) map[string]float64 {
+	s := l.sums()
+	out := make(map[string]float64)
+	for _, r := range m.Ranges {
+		out[r.Owner.Target] += s.of(r.From, r.To)
+	}
+	return out
+}
+
 // base is the part of the load that is taken to be spread evenly over all keys,
 // so that keys without recent requests count too.
 const base = 0.1
