entry: the coordinator does not watch what it writes itself

Only the coordinator writes them, so it takes its acknowledged writes into what it relays, and watches again when it has not written for a second. TestTheCoordinatorKnowsWhatItWrote.

--- a/internal/entry/candidate.go
+++ b/internal/entry/candidate.go
@@ -277,18 +277,28 @@
 func (c *candidate) write(ctx context.Context, w coordinator.Write) {
 	sentAt := leaseClock()
 	version, err := c.put(ctx, w)
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	if err == nil {
-		c.election.Acknowledged(leaseClock(), sentAt, version, w)
+		c.acknowledged(sentAt, version, w)
 		return
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.election.Failed(leaseClock())
 	if !errors.Is(err, objects.ErrConflict) {
 		c.n.log.Emit(evStoreLost, "call", "renewal of the coordinator's lease", "error", err.Error())
 	}
 }
 
+// acknowledged takes in a write of the record that the store took.
+func (c *candidate) acknowledged(sentAt time.Duration, version uint64, w coordinator.Write) {
+	c.mu.Lock()
+	c.election.Acknowledged(leaseClock(), sentAt, version, w)
+	c.mu.Unlock()
+	if value, err := json.Marshal(w.Record); err == nil { // as it was for the write
+		c.n.wrote(coordinatorObject, version, value)
+	}
+}
+
 func (c *candidate) put(ctx context.Context, w coordinator.Write) (uint64, error) {
 	value, err := json.Marshal(w.Record)
 	if err != nil {
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -44,6 +44,9 @@
 	// restartRelay is the same for a host that starts later, when callers may be
 	// waiting: two connections and a report between regions.
 	restartRelay = 400 * time.Millisecond
+	// ownWrites is for how long the coordinator knows its own objects from its last
+	// write: a renewal of its lease, and a little more.
+	ownWrites = time.Second
 	// relayCheck is how often a host looks whether it is still relayed to.
 	relayCheck = 150 * time.Millisecond
 	// ownersPause lets changes of owners that follow each other closely gather.
@@ -73,7 +76,10 @@
 	relist bool
 	// awaits says that a host waits for the coordinator first when it starts.
 	awaits bool
-	lost   bool // the store did not answer the last call; used by follow alone
+	// own says that only the coordinator writes the objects: it need not watch what
+	// it writes.
+	own  bool
+	lost bool // the store did not answer the last call; used by follow alone
 
 	mu       sync.Mutex
 	mirror   *mirror.Mirror
@@ -100,6 +106,10 @@
 			sleep(ctx, relayCheck)
 			continue
 		}
+		if f.writes() {
+			sleep(ctx, relayCheck)
+			continue
+		}
 		enter, probe := f.n.gate.enter(steady(), f.hearsCoordinator())
 		if !enter {
 			sleep(ctx, gateCheck)
@@ -154,6 +164,32 @@
 	}
 }
 
+// writes reports whether this host knows the objects from what it wrote itself a
+// short while ago.
+func (f *feed) writes() bool {
+	if !f.own || !f.n.candidate.holds() {
+		return false
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.listed && steady()-f.answered < ownWrites
+}
+
+// wrote takes in an object of this system that this host wrote as the coordinator.
+func (n *Node) wrote(name string, version uint64, value json.RawMessage) {
+	for _, f := range n.feeds {
+		switch {
+		case !f.own:
+		case version < f.revision():
+			// A later write was acknowledged first: hosts that know of that one would
+			// not be sent this one as a change.
+			f.unlist()
+		default:
+			f.take(platform.Batch{Revision: version, Objects: []platform.Object{{Name: name, Version: version, Value: value}}}, false, 0)
+		}
+	}
+}
+
 // fresh reports whether the coordinator relays the feed, and has it from a store
 // that answers.
 func (f *feed) fresh() bool {
@@ -373,6 +409,7 @@
 	return &feed{
 		prefix: ownPrefix,
 		pause:  ownersPause,
+		own:    true,
 		replace: func(objects []platform.Object) {
 			apply(objects)
 			n.candidate.listed()
--- a/internal/entry/follow_test.go
+++ b/internal/entry/follow_test.go
@@ -39,3 +39,24 @@
 	assert.Equal(t, len(n.directory.Of("s")), 1, "kept until it must be back")
 	assert.Equal(t, len(feed.apply(entry(3, false))), 1)
 }
+
+// The coordinator relays what it wrote without a watch. Two writes may be
+// acknowledged in the other order: then it lists its objects again, as hosts that
+// have the later one would never get the earlier.
+func TestTheCoordinatorKnowsWhatItWrote(t *testing.T) {
+	tm, _ := newTestTerm(t)
+	n := tm.n
+	var own *feed
+	for _, f := range n.feeds {
+		if f.own {
+			own = f
+		}
+	}
+	own.take(platform.Batch{Revision: 1}, true, 0)
+	n.wrote("mangopost/x", 5, json.RawMessage(`{}`))
+	assert.Equal(t, own.revision(), uint64(5))
+	assert.Assert(t, own.writes())
+	n.wrote("mangopost/y", 4, json.RawMessage(`{}`))
+	assert.Equal(t, own.revision(), uint64(0), "it is listed again")
+	assert.Assert(t, !own.writes())
+}
--- a/internal/entry/term.go
+++ b/internal/entry/term.go
@@ -432,6 +432,7 @@
 		if err == nil {
 			t.acknowledged(service, &ownedMap{keys: next, version: version})
 			t.n.setOwners(service, owners{keys: next, version: version})
+			t.n.wrote(ownersPrefix+service, version, value)
 			return nil
 		}
 		if errors.IsAny(err, platform.ErrConflict, platform.ErrNotFound, platform.ErrRejected) {
