admission/pool: requests of a moving hot key are thinned; the coordinator is near the store

The part that may be sent is known for the new owner, so it holds while the key moves. A host far from the store is the coordinator only if none near it is: each map takes a call of 64 ms instead of 4, and all heartbeats cross between the regions. Plans are made every 0.2 s, not 0.3: a hot spot lasts for four or five seconds. TestRequestsOfAMovingHotKeyAreThinned.

--- a/admission/pool/pool.go
+++ b/admission/pool/pool.go
@@ -333,12 +333,14 @@
 }
 
 // thin refuses a part of the requests for keys of which there are more than their
-// owner gets through.
+// owner gets through, also while they are on their way to it: what waits comes all
+// at once.
 func (p *Pool) thin(now time.Duration, r Request) (Action, bool) {
-	if !p.cfg.Keyed || len(r.Tried) > 0 || r.NotUntil > 0 {
+	keys, ok := p.rangeOf(r.Key)
+	if !ok || len(r.Tried) > 0 || r.NotUntil > 0 {
 		return Action{}, false
 	}
-	t, _ := p.owner(r.Key)
+	t := p.targets[keys.Owner.Target]
 	if t == nil || t.admits(p.cfg.Phase) {
 		return Action{}, false
 	}
--- a/admission/pool/pool_test.go
+++ b/admission/pool/pool_test.go
@@ -285,6 +285,20 @@
 	}
 }
 
+// Pattern: a key with ten times what a target runs moves. What waits for the move
+// would come to the new owner all at once.
+func TestRequestsOfAMovingHotKeyAreThinned(t *testing.T) {
+	p := keyed(target("a", 6, pool.SameZone), target("b", 6, pool.SameZone))
+	m := keyrange.New("s", []keyrange.Owner{owner("a")}, []float64{1})
+	m.Assign(0, 99, owner("b"))
+	p.SetOwners(m)
+	p.SetAdmission(map[string]float64{"b": 0.1})
+	for i := range 100 {
+		p.Arrive(0, request(uint64(i), 0))
+	}
+	assert.Equal(t, p.Waiting(), 10)
+}
+
 // Pattern: moves complete while the store is away, so that no map says so.
 func TestACompleteMoveIsServedBeforeTheStoreKnows(t *testing.T) {
 	p := keyed(target("a", 2, pool.SameZone), target("b", 2, pool.SameZone))
--- a/internal/entry/candidate.go
+++ b/internal/entry/candidate.go
@@ -62,6 +62,10 @@
 	// hostStagger is the mean distance between two hosts that try to become the
 	// coordinator, of which only one can succeed: about the time of a write.
 	hostStagger = 50 * time.Millisecond
+	// storeStagger is how many times the way to the store a host tries later: each
+	// change of owners takes at least one call, and each heartbeat of a target comes
+	// that way.
+	storeStagger = 8
 	// fasterHost is how many times as many cores another host must have to be given
 	// the role.
 	fasterHost = 2
@@ -92,7 +96,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.hosts = hosts
-	c.election.SetStagger(stagger(c.n.settings.Load(), hosts))
+	c.election.SetStagger(stagger(c.n.settings.Load(), hosts) + storeStagger*c.n.store.Way())
 }
 
 // heard notes that the store answered.
--- a/internal/entry/term.go
+++ b/internal/entry/term.go
@@ -22,7 +22,7 @@
 const (
 	// planEvery is how often ownership is planned: a hot spot is answered within a
 	// second or two.
-	planEvery = 300 * time.Millisecond
+	planEvery = 200 * time.Millisecond
 	// firstPlan is the same at the beginning of a term: grants may be about to end.
 	firstPlan = time.Millisecond
 	// renewCheck is how often grants that are due are looked for.
