--- a/admission/pool/pool.go
+++ b/admission/pool/pool.go
@@ -93,6 +93,9 @@
 	NoOwner Reason = "no-owner"
 	// Full: the request would wait for longer than is of use.
 	Full Reason = "full"
+	// Thinned: there are more requests for the owner's keys than it gets through, over
+	// all hosts, and this one is not of the part that is sent.
+	Thinned Reason = "thinned"
 	// Late: its time ran out while it waited.
 	Late Reason = "late"
 	// Stopping: this host is about to end.
@@ -346,7 +349,7 @@
 	}
 	t.refused++
 	part := float64(max(1, t.Slots)) / p.serviceAt(t).Seconds() / float64(max(1, p.hosts))
-	return p.refuse(now, r, Full, t.returns.next(now, p.serviceAt(t), part)), true
+	return p.refuse(now, r, Thinned, t.returns.next(now, p.serviceAt(t), part)), true
 }
 
 func order(a, b Request) int {
--- a/admission/pool/pool_test.go
+++ b/admission/pool/pool_test.go
@@ -292,11 +292,11 @@
 	m := keyrange.New("s", []keyrange.Owner{owner("a")}, []float64{1})
 	m.Assign(0, 99, owner("b"))
 	p.SetOwners(m)
-	p.SetAdmission(map[string]float64{"b": 0.1})
+	p.SetAdmission(map[string]float64{"b": 0.125})
 	for i := range 100 {
 		p.Arrive(0, request(uint64(i), 0))
 	}
-	assert.Equal(t, p.Waiting(), 10)
+	assert.Equal(t, p.Waiting(), 12)
 }
 
 // Pattern: moves complete while the store is away, so that no map says so.
