--- a/internal/entry/granting_test.go
+++ b/internal/entry/granting_test.go
@@ -206,3 +206,40 @@
 		})
 	}
 }
+
+// A coordinator that resigns sends nothing more, and waits for what is under way: its
+// successor moves keys at once and relies on both.
+func TestAResigningCoordinatorSettlesWhatItSent(t *testing.T) {
+	tm, fake := newTestTerm(t)
+	whole := tm.owned("s").keys.Ranges[0]
+	state, _ := tm.begin("s", whole)
+	go tm.grant("s", whole, state)
+	<-fake.sent
+	floors := make(chan grants.Floor)
+	go func() { floors <- tm.quiesce() }()
+	select {
+	case <-floors:
+		t.Fatal("a grant is under way")
+	case <-time.After(5 * underWayCheck):
+	}
+	assert.Assert(t, !tm.grant("s", whole, state), "no further grant")
+	_, err := tm.release(whole, keyrange.Previous{Owner: ownerA, Fence: whole.Fence})
+	assert.ErrorContains(t, err, "lease has ended")
+	fake.answers <- nil
+	floor := <-floors
+	assert.Assert(t, floor.End > leaseClock())
+	assert.Assert(t, floor.Unclear <= leaseClock(), "every grant was answered")
+}
+
+// Pattern: a change of the coordinator by plan. Its grants end when it told, and none
+// may be applied late unless it told so.
+func TestASuccessorTrustsWhatTheCoordinatorTold(t *testing.T) {
+	told := newLedger(coordinator.Record{Resigned: true, EndMs: 3000, UnclearMs: 1000}, time.Minute)
+	end, _ := told.EndOf(ownerA, 7)
+	assert.Equal(t, end, time.Minute+3*time.Second+grants.Margin)
+	unclear, _ := told.EndOfUnclear(ownerA, 7)
+	assert.Equal(t, unclear, time.Minute+time.Second+grants.Margin)
+	silent := newLedger(coordinator.Record{EndMs: 1, UnclearMs: 1}, time.Minute)
+	unclear, _ = silent.EndOfUnclear(ownerA, 7)
+	assert.Assert(t, unclear > leaseClock()+longHold, "it did not resign")
+}
