--- a/internal/entry/granting_test.go
+++ b/internal/entry/granting_test.go
@@ -243,3 +243,27 @@
 	unclear, _ = silent.EndOfUnclear(ownerA, 7)
 	assert.Assert(t, unclear > leaseClock()+longHold, "it did not resign")
 }
+
+// Pattern: a target falls silent, and renewals find no connection. Its keys are free
+// when the last grant that it can have got has ended, not after the last try.
+func TestRenewalsThatWereNotSentProlongNothing(t *testing.T) {
+	tm, fake := newTestTerm(t)
+	whole := tm.owned("s").keys.Ranges[0]
+	state, _ := tm.begin("s", whole)
+	send := func(err error) time.Duration {
+		done := make(chan struct{})
+		go func() {
+			tm.grant("s", whole, state)
+			close(done)
+		}()
+		<-fake.sent
+		fake.answers <- err
+		<-done
+		end, ok := tm.ledger.EndOf(whole.Owner, whole.Fence)
+		assert.Assert(t, ok)
+		return end
+	}
+	answered := send(nil)
+	assert.Equal(t, send(platform.ErrNotSent), answered)
+	assert.Assert(t, send(context.DeadlineExceeded) > answered, "one that was sent may have arrived")
+}
--- a/internal/entry/targetconn.go
+++ b/internal/entry/targetconn.go
@@ -38,7 +38,7 @@
 // targetConn is a connection to a target, used for one request at a time.
 type targetConn struct {
 	*net.TCPConn
-	reader *bufio.Reader
+	reader *bufio.Reader // nil while it is idle
 	keep   time.Duration // how long it may stay idle
 	idle   time.Duration // when its last answer came
 	reused bool
@@ -73,6 +73,7 @@
 	for c := p.pop(addr); c != nil; c = p.pop(addr) {
 		if now-c.idle < min(c.keep, maxIdle) && c.untouched() {
 			c.reused = true
+			c.reader = newReader(c.TCPConn)
 			return c, nil
 		}
 		_ = c.Close()
@@ -82,7 +83,16 @@
 		return nil, errors.Wrap(err, "connect")
 	}
 	tcp := conn.(*net.TCPConn) // the network is tcp
-	return &targetConn{TCPConn: tcp, reader: bufio.NewReaderSize(tcp, readBuffer), keep: defaultKeep}, nil
+	return &targetConn{TCPConn: tcp, reader: newReader(tcp), keep: defaultKeep}, nil
+}
+
+// readers are kept apart from idle connections, of which a host has hundreds.
+var readers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, readBuffer) }}
+
+func newReader(c net.Conn) *bufio.Reader {
+	r := readers.Get().(*bufio.Reader) // the pool holds nothing else
+	r.Reset(c)
+	return r
 }
 
 func (p *connPool) pop(addr string) *targetConn {
@@ -104,6 +114,9 @@
 		_ = c.Close()
 		return
 	}
+	c.reader.Reset(nil)
+	readers.Put(c.reader)
+	c.reader = nil
 	c.idle = steady()
 	p.mu.Lock()
 	defer p.mu.Unlock()
