entry: a host that starts does not wait for a coordinator that does not answer

Now it asks the store at once when its report finds no coordinator, or when the coordinator was this host before it started again. TestAHostDoesNotWaitForACoordinatorThatDoesNotAnswer.

--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -157,13 +157,24 @@
 
 // awaitRelay gives the coordinator time to send what this host does not know.
 func (f *feed) awaitRelay(ctx context.Context, limit time.Duration) {
-	if f.n.settings.Load().FirstStart {
+	first := f.n.settings.Load().FirstStart
+	if first {
 		limit = firstRelay
 	}
-	for until := steady() + limit; steady() < until && !f.fresh() && !f.n.candidate.holds() && sleep(ctx, relayCheck/3); {
+	for until := steady() + limit; steady() < until && !f.fresh() && !f.n.candidate.holds(); {
+		if !first && f.n.noRelay() || !sleep(ctx, relayCheck/5) {
+			return
+		}
 	}
 }
 
+// noRelay reports whether the coordinator, as far as this host knows of one, does not
+// answer, or was this host before it started again. After an outage of all hosts
+// callers wait, and nobody relays.
+func (n *Node) noRelay() bool {
+	return n.reportFailed.Load() || n.candidate.holder().Holder == n.settings.Load().Host
+}
+
 // writes reports whether this host knows the objects from what it wrote itself a
 // short while ago.
 func (f *feed) writes() bool {
--- a/internal/entry/follow_test.go
+++ b/internal/entry/follow_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"encoding/json"
 	"testing"
 	"time"
@@ -8,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/mangopost/mangopost/internal/platform"
+	"github.com/mangopost/mangopost/lease/coordinator"
 	wire "github.com/mangopost/mangopost/platform"
 	"github.com/mangopost/mangopost/platform/standin"
 )
@@ -60,3 +62,25 @@
 	assert.Equal(t, own.revision(), uint64(0), "it is listed again")
 	assert.Assert(t, !own.writes())
 }
+
+// Pattern: all hosts were killed and start again at once. The record still names a
+// coordinator, which relays nothing: hosts ask the store at once. Found on pinjam-antara:
+// the worst seconds of all days that end with such a fault.
+func TestAHostDoesNotWaitForACoordinatorThatDoesNotAnswer(t *testing.T) {
+	tm, _ := newTestTerm(t)
+	n := tm.n
+	n.candidate.election.Observe(leaseClock(), 9, coordinator.Record{Holder: "other", Run: 7, Addr: "127.0.0.1:1"})
+	f := n.feeds[0]
+	waits := func() bool {
+		ctx, cancel := context.WithTimeout(t.Context(), relayCheck)
+		defer cancel()
+		f.awaitRelay(ctx, time.Hour)
+		return ctx.Err() != nil
+	}
+	assert.Assert(t, waits(), "the coordinator may be about to answer")
+	n.reportFailed.Store(true)
+	assert.Assert(t, !waits())
+	n.reportFailed.Store(false)
+	n.candidate.election.Observe(leaseClock(), 10, coordinator.Record{Holder: "h", Run: 7, Addr: "127.0.0.1:1"})
+	assert.Assert(t, !waits(), "this host was the coordinator")
+}
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -58,8 +58,10 @@
 	numbers  atomic.Uint64
 	inFlight atomic.Int64
 	stopping atomic.Bool
-	hosts    atomic.Int64 // that report to the coordinator
-	heard    atomic.Int64 // last answer of the store, by steady
+
+	reportFailed atomic.Bool  // the last report got no answer from a coordinator
+	hosts        atomic.Int64 // that report to the coordinator
+	heard        atomic.Int64 // last answer of the store, by steady
 
 	gate storeGate
 
--- a/internal/entry/reports.go
+++ b/internal/entry/reports.go
@@ -49,6 +49,7 @@
 			continue
 		}
 		reply, err := r.exchange(ctx, holder.Addr, n.makeReport())
+		n.reportFailed.Store(err != nil)
 		if err != nil {
 			if !failing {
 				n.log.Emit(evReportFailed, "coordinator", holder.Holder, "error", err.Error())
