admission/pool, internal/entry: files with one job; behaviour stays

No line of them changed (sorted lines are the same), but that MP6210 says written only if the store took the write.

--- a/admission/pool/pool.go
+++ b/admission/pool/pool.go
@@ -17,7 +17,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"math"
 	"slices"
 	"time"
@@ -25,18 +24,6 @@
 	"github.com/mangopost/mangopost/ownership/keyrange"
 )
 
-// Distance is how far a target is from this host.
-type Distance uint8
-
-const (
-	// SameZone is the host's data centre.
-	SameZone Distance = iota
-	// SameRegion is another data centre of the region.
-	SameRegion
-	// Far is another region.
-	Far
-)
-
 // Config tunes a pool.
 type Config struct {
 	Keyed   bool
@@ -61,82 +48,6 @@
 	Cooling: 60 * time.Millisecond,
 }
 
-// Target is what is believed of one start of a target.
-type Target struct {
-	Owner    keyrange.Owner
-	Distance Distance
-	Slots    int
-	Leaving  bool          // takes no new work
-	ColdFor  time.Duration // how much longer it is slow
-	Limit    int           // requests of this host that it may run: its share of connections; 0: no limit
-}
-
-// Request is a request that waits for a target.
-type Request struct {
-	ID       uint64
-	Key      int // of a keyed service
-	Priority int // 0 is the most urgent
-	Arrived  time.Duration
-	Goal     time.Duration // moment by which the answer has its full value
-	Deadline time.Duration // moment from which no answer is of use
-	Tried    []string      // targets that it was sent to
-	NotUntil time.Duration // is not sent before
-}
-
-// Reason says why a request was refused.
-type Reason string
-
-const (
-	// NoTarget: no target of the service may take work.
-	NoTarget Reason = "no-target"
-	// NoOwner: the key has no owner that may take work.
-	NoOwner Reason = "no-owner"
-	// Full: the request would wait for longer than is of use.
-	Full Reason = "full"
-	// Thinned: there are more requests for the owner's keys than it gets through, over
-	// all hosts, and this one is not of the part that is sent.
-	Thinned Reason = "thinned"
-	// Late: its time ran out while it waited.
-	Late Reason = "late"
-	// Stopping: this host is about to end.
-	Stopping Reason = "stopping"
-	// Urgent: a more urgent request took its place.
-	Urgent Reason = "displaced"
-)
-
-// Action is a decision on one request.
-type Action struct {
-	ID         uint64
-	Start      bool
-	Target     keyrange.Owner // of a start
-	Fence      uint64         // of a start, for the log
-	Waited     time.Duration
-	Reason     Reason        // of a refusal
-	RetryAfter time.Duration // of a refusal: when there will be room
-}
-
-// Result is what became of a request at a target.
-type Result uint8
-
-const (
-	// Answered: a whole answer came that is not a failure of the target.
-	Answered Result = iota
-	// Failed: the target answered with a failure of its own.
-	Failed
-	// Shed: the target refused for lack of room, without running it.
-	Shed
-	// NotOwner: the target does not hold the key.
-	NotOwner
-	// Unreachable: no connection could be made.
-	Unreachable
-	// Broken: the connection ended or the answer was damaged.
-	Broken
-	// Silent: no answer came in time.
-	Silent
-	// Abandoned: the caller left.
-	Abandoned
-)
-
 // Pool is the state of one service at one host.
 type Pool struct {
 	cfg     Config
@@ -189,42 +100,6 @@
 	}
 }
 
-// SetOwners replaces the map of a keyed service.
-func (p *Pool) SetOwners(m *keyrange.Map) {
-	p.owners = m
-	maps.DeleteFunc(p.settled, func(id keyrange.ID, _ bool) bool { return m == nil || !m.Moving(id) })
-}
-
-// Settle notes that moves of the map are complete: the store need not have them
-// as such yet, or may be away.
-func (p *Pool) Settle(ids []keyrange.ID) {
-	for _, id := range ids {
-		p.settled[id] = true
-	}
-}
-
-// unheldPause is how long after an answer that the owner does not hold its keys
-// no further request for them is sent: each costs a retry.
-const unheldPause = 120 * time.Millisecond
-
-// unheldKeep is how long after that one request at a time asks whether it does.
-const unheldKeep = time.Second
-
-// NotHeld notes that the owner of the keys under a fence did not hold them: its
-// grant is late, or has ended. Until it is asked again they have no owner.
-func (p *Pool) NotHeld(now time.Duration, fence uint64) {
-	p.now = now
-	for f, until := range p.unheld {
-		if until+unheldKeep <= now {
-			delete(p.unheld, f)
-		}
-	}
-	p.unheld[fence] = now + unheldPause
-}
-
-// Held notes that the owner of the keys under a fence took a request for them.
-func (p *Pool) Held(fence uint64) { delete(p.unheld, fence) }
-
 // SetOthers takes in how many requests all other hosts run at each busy target,
 // as they last reported, and this host's share of the requests that a target
 // runs at once where more are asked for than it can run. A share may be less
@@ -335,23 +210,6 @@
 	return []Action{p.refuse(now, last, Urgent, p.expectedWait(last))}
 }
 
-// thin refuses a part of the requests for keys of which there are more than their
-// owner gets through, also while they are on their way to it: what waits comes all
-// at once.
-func (p *Pool) thin(now time.Duration, r Request) (Action, bool) {
-	keys, ok := p.rangeOf(r.Key)
-	if !ok || len(r.Tried) > 0 || r.NotUntil > 0 {
-		return Action{}, false
-	}
-	t := p.targets[keys.Owner.Target]
-	if t == nil || t.admits(p.cfg.Phase) {
-		return Action{}, false
-	}
-	t.refused++
-	part := float64(max(1, t.Slots)) / p.serviceAt(t).Seconds() / float64(max(1, p.hosts))
-	return p.refuse(now, r, Thinned, t.returns.next(now, p.serviceAt(t), part)), true
-}
-
 func order(a, b Request) int {
 	return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.Arrived, b.Arrived), cmp.Compare(a.ID, b.ID))
 }
@@ -382,144 +240,6 @@
 	return t.unloaded.value
 }
 
-func (p *Pool) refuse(now time.Duration, r Request, why Reason, wait time.Duration) Action {
-	return Action{ID: r.ID, Reason: why, RetryAfter: max(wait, minRetryAfter), Waited: now - r.Arrived}
-}
-
-// minRetryAfter spares the hosts callers that come back at once.
-const minRetryAfter = 50 * time.Millisecond
-
-// refuseOnArrival decides whether a request that cannot start now waits.
-func (p *Pool) refuseOnArrival(now time.Duration, r Request) (Action, bool) {
-	reason, known := p.placed(r)
-	if !known {
-		limit := r.Arrived + p.cfg.NoOwner
-		if p.moving(r.Key) {
-			limit = max(limit, r.Goal-p.service.value)
-		}
-		if now >= min(limit, r.Deadline) {
-			return p.refuse(now, r, reason, p.untilOwned(now, r.Key)), true
-		}
-		return Action{}, false
-	}
-	wait := p.expectedWait(r)
-	latest := max(r.Goal, r.Arrived+(r.Deadline-r.Arrived)/3)
-	if now+wait+p.service.value > min(latest, r.Deadline) && now-r.Arrived < p.cfg.Cooling {
-		if p.cfg.Keyed {
-			t, _ := p.owner(r.Key)
-			t.refused++
-			return p.refuse(now, r, Full, t.returns.next(now, wait, t.rate(p.cfg.Backlog))), true
-		}
-		return p.refuse(now, r, Full, p.returns.next(now, wait, p.rate())), true
-	}
-	return Action{}, false
-}
-
-// placed reports whether some target may run the request at all, now or later.
-func (p *Pool) placed(r Request) (Reason, bool) {
-	if p.cfg.Keyed {
-		t, _ := p.owner(r.Key)
-		return NoOwner, t != nil
-	}
-	for _, t := range p.targets {
-		if !t.Leaving {
-			return "", true
-		}
-	}
-	return NoTarget, false
-}
-
-// expectedWait estimates how long the request waits for those before it.
-func (p *Pool) expectedWait(r Request) time.Duration {
-	if p.cfg.Keyed {
-		t, _ := p.owner(r.Key)
-		if t == nil {
-			return p.cfg.NoOwner
-		}
-		ahead := 1
-		for _, w := range p.waiting {
-			if o, _ := p.owner(w.Key); o == t && order(w, r) < 0 {
-				ahead++
-			}
-		}
-		return time.Duration(float64(ahead) / t.rate(p.cfg.Backlog) * float64(time.Second))
-	}
-	ahead := 1
-	for _, w := range p.waiting {
-		if order(w, r) < 0 {
-			ahead++
-		}
-	}
-	return time.Duration(float64(ahead) / p.rate() * float64(time.Second))
-}
-
-// rate is the number of requests a second that this host may get through at near
-// targets.
-func (p *Pool) rate() float64 {
-	rate := 0.0
-	for _, t := range p.targets {
-		if !t.Leaving && t.Distance != Far {
-			rate += t.rate(p.cfg.Backlog)
-		}
-	}
-	return max(rate, 1)
-}
-
-// moving reports whether the key is on its way to an owner that may take work: it
-// is worth waiting for.
-func (p *Pool) moving(key int) bool {
-	r, ok := p.rangeOf(key)
-	if !ok || len(r.Prev) == 0 {
-		return false
-	}
-	t := p.targets[r.Owner.Target]
-	return t != nil && !t.Leaving
-}
-
-// untilOwned estimates how long the key will have no owner that may take work: an
-// owner that was lost keeps it until its grants have ended.
-func (p *Pool) untilOwned(now time.Duration, key int) time.Duration {
-	r, ok := p.rangeOf(key)
-	if !ok {
-		return p.cfg.NoOwner
-	}
-	since, ok := p.unowned[r.From]
-	if !ok || now > since+2*p.cfg.Lost {
-		since = now
-		p.unowned[r.From] = since
-	}
-	return max(p.cfg.NoOwner, since+p.cfg.Lost-now)
-}
-
-// rangeOf returns the range of the key, if owners are known.
-func (p *Pool) rangeOf(key int) (keyrange.Range, bool) {
-	if !p.cfg.Keyed || p.owners == nil {
-		return keyrange.Range{}, false
-	}
-	i := p.owners.At(key)
-	if i < 0 {
-		return keyrange.Range{}, false
-	}
-	return p.owners.Ranges[i], true
-}
-
-// owner returns the target that owns the key and may take work, and its fence.
-func (p *Pool) owner(key int) (*target, uint64) {
-	r, ok := p.rangeOf(key)
-	if !ok {
-		return nil, 0
-	}
-	if len(r.Prev) > 0 && !p.settled[r.ID()] {
-		return nil, 0
-	}
-	t := p.targets[r.Owner.Target]
-	if t == nil || t.Leaving || !t.Owner.Same(r.Owner) || p.now < p.unheld[r.Fence] {
-		return nil, 0
-	}
-	delete(p.unowned, r.From)
-	return t, r.Fence
-}
-
 // pick returns the target that runs the request now.
 func (p *Pool) pick(now time.Duration, r Request) (*target, uint64, bool) {
 	if p.cfg.Keyed {
@@ -623,12 +343,3 @@
 		p.service.add(took)
 	}
 }
-
-// String names the result in logs and metrics.
-func (r Result) String() string {
-	names := [...]string{"answered", "failed", "shed", "not-owner", "unreachable", "broken", "silent", "abandoned"}
-	if int(r) < len(names) {
-		return names[r]
-	}
-	return "unspecified"
-}
--- a/internal/entry/candidate.go
+++ b/internal/entry/candidate.go
@@ -6,16 +6,13 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
 	objects "github.com/mangopost/mangopost/internal/platform"
 	"github.com/mangopost/mangopost/lease/coordinator"
-	"github.com/mangopost/mangopost/ownership/grants"
 	"github.com/mangopost/mangopost/ownership/keyrange"
 	"github.com/mangopost/mangopost/placement/demand"
 	"github.com/mangopost/mangopost/placement/hotrange"
-	"github.com/mangopost/mangopost/platform"
 )
 
 const (
@@ -55,42 +52,6 @@
 	return c
 }
 
-const (
-	// slowStagger is how much later than the fastest a host without processor time
-	// tries to become the coordinator: the role is for hosts with room.
-	slowStagger = 3 * time.Second
-	// hostStagger is the mean distance between two hosts that try to become the
-	// coordinator, of which only one can succeed: about the time of a write.
-	hostStagger = 50 * time.Millisecond
-	// storeStagger is how many times the way to the store a host tries later: each
-	// change of owners takes at least one call, and each heartbeat of a target comes
-	// that way.
-	storeStagger = 8
-	// fasterHost is how many times as many cores another host must have to be given
-	// the role.
-	fasterHost = 2
-	// settleTerm is how long a term lasts at least before the role is given to a
-	// faster host: all hosts have reported by then.
-	settleTerm = 3 * reportEvery
-	// keepRole is how long a host that took the role again, as no faster one did,
-	// keeps it.
-	keepRole = 15 * time.Second
-)
-
-// stagger returns how long after the first of all hosts this one tries to become
-// the coordinator.
-func stagger(s *platform.Settings, hosts demand.Hosts) time.Duration {
-	slow := 1 - min(1, s.Cores/max(hosts.Cores, s.Cores))
-	peers := hosts.Count
-	if hosts.Fast > 0 && s.Cores*fasterHost > hosts.Cores {
-		peers = hosts.Fast
-	}
-	return time.Duration(slow*float64(slowStagger)) + time.Duration(place(s.Host)*float64(peers)*float64(hostStagger))
-}
-
-// place returns a number from 0 to 1 that differs from host to host.
-func place(host string) float64 { return float64(xxhash.Sum64String(host)%1000) / 1000 }
-
 // setHosts takes in what is known of all hosts.
 func (c *candidate) setHosts(hosts demand.Hosts) {
 	c.mu.Lock()
@@ -106,49 +67,6 @@
 	c.election.Heard(leaseClock())
 }
 
-// hasFaster reports whether the role is to be given to a faster host.
-func (c *candidate) hasFaster() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	now := leaseClock()
-	return c.term != nil && now > c.termBegan+settleTerm && now > c.keepsUntil &&
-		c.hosts.Cores > fasterHost*c.n.settings.Load().Cores
-}
-
-// resign gives the role up, once what this host has sent is settled, and tells the
-// next coordinator until when it counts.
-func (c *candidate) resign(ctx context.Context, why string) {
-	c.mu.Lock()
-	t := c.term
-	c.mu.Unlock()
-	if t == nil {
-		return
-	}
-	floor := t.quiesce()
-	c.setTerm(ctx, false)
-	w, ok := c.resignation(ctx, floor)
-	if ok {
-		c.write(ctx, w)
-	}
-	c.n.log.Emit(evResigned, "reason", why, "written", ok, "end_ms", w.Record.EndMs, "unclear_ms", w.Record.UnclearMs)
-}
-
-// resignation returns the write that gives the role up, when no renewal is under
-// way. ok is false when the lease has ended before.
-func (c *candidate) resignation(ctx context.Context, floor grants.Floor) (w coordinator.Write, ok bool) {
-	for {
-		c.mu.Lock()
-		now := leaseClock()
-		w, ok = c.election.Resign(now, floor.End-now, floor.Unclear-now)
-		held := c.election.Holds(now)
-		c.keepsUntil = now + keepRole
-		c.mu.Unlock()
-		if ok || !held || !sleep(ctx, underWayCheck) {
-			return w, ok
-		}
-	}
-}
-
 // take takes a host's report in and returns what to tell it.
 func (c *candidate) take(r demand.Report) (map[string]demand.Shares, demand.Hosts) {
 	slots := make(map[string]map[string]int)
@@ -236,23 +154,6 @@
 	return c.election.Holder()
 }
 
-const (
-	// fastCores is the share of a core from which on a host counts as fast while
-	// nothing is known of the others.
-	fastCores = 0.8
-	// firstSlow and firstSpread order the first attempts of hosts that start
-	// together: fast ones come first, and the others find one of them.
-	firstSlow   = 1200 * time.Millisecond
-	firstSpread = 600 * time.Millisecond
-)
-
-// firstStagger returns how long a host waits before it may become the coordinator
-// when the whole system starts.
-func firstStagger(s *platform.Settings) time.Duration {
-	slow := 1 - min(1, s.Cores/fastCores)
-	return time.Duration(slow*float64(firstSlow)) + time.Duration(place(s.Host)*float64(firstSpread))
-}
-
 // run takes, renews and uses the lease until ctx ends.
 func (c *candidate) run(ctx context.Context) error {
 	if s := c.n.settings.Load(); s.FirstStart {
@@ -277,13 +178,14 @@
 	return nil
 }
 
-// write makes a conditional update of the lease's record.
-func (c *candidate) write(ctx context.Context, w coordinator.Write) {
+// write makes a conditional update of the lease's record. It reports whether the
+// store took it.
+func (c *candidate) write(ctx context.Context, w coordinator.Write) bool {
 	sentAt := leaseClock()
 	version, err := c.put(ctx, w)
 	if err == nil {
 		c.acknowledged(sentAt, version, w)
-		return
+		return true
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -291,6 +193,7 @@
 	if !errors.Is(err, objects.ErrConflict) {
 		c.n.log.Emit(evStoreLost, "call", "renewal of the coordinator's lease", "error", err.Error())
 	}
+	return false
 }
 
 // acknowledged takes in a write of the record that the store took.
