--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -6,4 +6,4 @@
 	echo "build first: the build line of deploy/system.toml, then review/build.sh" >&2
 	exit 2
 fi
-exec target/review/reviewcase memory review/3
+exec target/review/reviewcase stale review/3
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -31,6 +31,7 @@
 	"memory": playMemory,
 	"poison": playPoison,
 	"path":   playPath,
+	"reborn": playReborn,
 }
 
 func main() { os.Exit(runCase()) }
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -46,7 +46,7 @@
 	// server crashes.
 	onRun func(s *server, r *http.Request, body []byte) bool
 
-	addr    string
+	addr    string // "" for a free port
 	store   *store
 	record  *recorder
 	http    *http.Server
@@ -72,7 +72,10 @@
 
 // start opens a port, begins to serve and announces the server in the store.
 func (s *server) start(st *store, rec *recorder, ip string) error {
-	listener, err := net.Listen("tcp", ip+":0")
+	if s.addr == "" {
+		s.addr = ip + ":0"
+	}
+	listener, err := net.Listen("tcp", s.addr)
 	if err != nil {
 		return err
 	}
