--- a/internal/entry/events.go
+++ b/internal/entry/events.go
@@ -48,5 +48,6 @@
 	evReportFailed   = kernel.RegisterEvent(6209, hclog.Warn, "report to the coordinator failed")
 	evAggregator     = kernel.RegisterEvent(6211, hclog.Info, "work as the data centre's aggregator begins or ends")
 	evAggregatorLost = kernel.RegisterEvent(6212, hclog.Warn, "no answer from the data centre's aggregator")
+	evFreed          = kernel.RegisterEvent(6213, hclog.Info, "previous owner holds the key range no more")
 	evResigned       = kernel.RegisterEvent(6210, hclog.Info, "this host resigns as coordinator")
 )
--- a/internal/entry/granting.go
+++ b/internal/entry/granting.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/mangopost/mangopost/membership/directory"
+	"github.com/mangopost/mangopost/ownership/grants"
 	"github.com/mangopost/mangopost/ownership/keyrange"
 	"github.com/mangopost/mangopost/platform"
 )
@@ -18,8 +19,8 @@
 	// moveRetryInterval is the pause between two attempts to send an order of a
 	// move.
 	moveRetryInterval = 150 * time.Millisecond
-	// inFlightCheckInterval is how often a release checks whether earlier grants
-	// are still in flight.
+	// inFlightCheckInterval is how often a move checks whether earlier grants are
+	// still in flight or may still be applied.
 	inFlightCheckInterval = 10 * time.Millisecond
 	// minMissedHeartbeats is the number of heartbeats that a target refusing
 	// connections must have missed to count as ended.
@@ -200,52 +201,85 @@
 // awaitFree waits until a previous owner no longer holds the range. It reports
 // false when the move is no longer wanted.
 func (t *term) awaitFree(service string, r keyrange.Range, prev keyrange.Previous, s *rangeState) bool {
+	transfer := grants.NewTransfer(prev)
 	for t.isCurrent(service, r) {
-		if t.hasHoldEnded(prev) {
+		if reason := t.assumedEnd(prev.Owner); reason != "" {
+			t.logFreed(service, r, prev, reason, grants.Decision{})
 			return true
 		}
-		if t.isGrantInFlight(prev) {
-			// A grant that arrived after the release would undo it.
-			if !sleep(t.ctx, inFlightCheckInterval) {
-				return false
+		pause := inFlightCheckInterval
+		switch d := t.nextStep(transfer); d.Step {
+		case grants.StepWait:
+			if d.IsSettled {
+				pause = moveRetryInterval
 			}
-			continue
-		}
-		handover, err := t.release(r, prev)
-		if err == nil {
-			t.mu.Lock()
-			s.handover = handover
-			t.mu.Unlock()
-			t.node.log.Emit(evReleased, "service", service, "from", r.From, "to", r.To, "target", prev.Target, "fence", prev.Fence)
-			return t.awaitUnansweredGrants(service, r, prev)
+		case grants.StepFree:
+			t.logFreed(service, r, prev, string(d.Ground), d)
+			return true
+		case grants.StepRelease:
+			if t.releaseRange(service, r, prev, s, transfer) {
+				continue
+			}
+			pause = moveRetryInterval
 		}
-		t.recordOrderFailure(prev.Owner, err)
-		if !sleep(t.ctx, moveRetryInterval) {
+		if !sleep(t.ctx, pause) {
 			return false
 		}
 	}
 	return false
 }
 
-// isGrantInFlight reports whether a grant to a previous owner has been neither
-// answered nor reset.
-func (t *term) isGrantInFlight(prev keyrange.Previous) bool {
+// nextStep decides what to do about a previous owner now.
+func (t *term) nextStep(transfer *grants.Transfer) grants.Decision {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	_, settled := t.ledger.EndOf(prev.Owner, prev.Fence)
-	return !settled
+	return t.ledger.Next(leaseClock(), transfer)
 }
 
-// hasHoldEnded reports whether a previous owner can no longer hold any key: either the
-// owner or all its grants have ended.
-func (t *term) hasHoldEnded(prev keyrange.Previous) bool {
-	if t.isSuperseded(prev.Owner) || t.hasTargetEnded(prev.Owner) {
-		return true
+// releaseRange asks a previous owner to release a range and reports whether it did.
+func (t *term) releaseRange(service string, r keyrange.Range, prev keyrange.Previous, s *rangeState, transfer *grants.Transfer) bool {
+	handover, err := t.release(r, prev)
+	if err != nil {
+		t.recordOrderFailure(prev.Owner, err)
+		return false
 	}
+	transfer.RecordRelease(leaseClock())
 	t.mu.Lock()
-	defer t.mu.Unlock()
-	end, ok := t.ledger.EndOf(prev.Owner, prev.Fence)
-	return ok && leaseClock() >= end
+	s.handover = handover
+	t.mu.Unlock()
+	t.node.log.Emit(evReleased, "service", service, "from", r.From, "to", r.To, "target", prev.Target, "fence", prev.Fence)
+	return true
+}
+
+// assumedEnd returns the reason why an owner counts as ended without a release or the
+// end of its grants, or "".
+func (t *term) assumedEnd(owner keyrange.Owner) string {
+	switch {
+	case t.isSuperseded(owner):
+		return "superseded"
+	case t.hasTargetEnded(owner):
+		return "target-ended"
+	default:
+		return ""
+	}
+}
+
+// logFreed logs on what ground a previous owner is taken to hold a range no more. Times
+// are relative to now; a negative age lies ahead.
+func (t *term) logFreed(service string, r keyrange.Range, prev keyrange.Previous, ground string, d grants.Decision) {
+	now := leaseClock()
+	entryRun, entryAge := t.entryRun(prev.Target)
+	fields := []any{
+		"service", service, "from", r.From, "to", r.To, "target", prev.Target, "run", prev.Run, "address", prev.Addr, "fence", prev.Fence,
+		"next_target", r.Owner.Target, "next_fence", r.Fence, "ground", ground, "entry_run", entryRun, "listing_age_ms", ms(entryAge),
+	}
+	if d.IsSettled {
+		fields = append(fields, "grants_ended_ms_ago", ms(now-d.Until), "unanswered_ended_ms_ago", ms(now-d.UnansweredUntil))
+	}
+	if d.ReleasedAt > 0 {
+		fields = append(fields, "released_ms_ago", ms(now-d.ReleasedAt))
+	}
+	t.node.log.Emit(evFreed, fields...)
 }
 
 func (t *term) release(r keyrange.Range, prev keyrange.Previous) (string, error) {
@@ -260,23 +294,6 @@
 	return t.orders.Release(ctx, platform.Order{Target: prev.Target, Addr: prev.Addr, From: r.From, To: r.To, Fence: prev.Fence})
 }
 
-// awaitUnansweredGrants waits until the unanswered grants, which may be applied after
-// the release, have ended. It reports false when the move is no longer wanted.
-func (t *term) awaitUnansweredGrants(service string, r keyrange.Range, prev keyrange.Previous) bool {
-	for t.isCurrent(service, r) {
-		t.mu.Lock()
-		end, ok := t.ledger.EndOfUnanswered(prev.Owner, prev.Fence)
-		t.mu.Unlock()
-		if ok && leaseClock() >= end {
-			return true
-		}
-		if !sleep(t.ctx, moveRetryInterval) {
-			return false
-		}
-	}
-	return false
-}
-
 // isCurrent reports whether the map still has the range with this fence.
 func (t *term) isCurrent(service string, r keyrange.Range) bool {
 	t.mu.Lock()
--- a/internal/entry/term.go
+++ b/internal/entry/term.go
@@ -286,6 +286,15 @@
 	return ok && e.Run != owner.Run
 }
 
+// entryRun returns the run of a target in the directory, 0 if it has none, and the age
+// of the store's last answer.
+func (t *term) entryRun(target string) (run int64, age time.Duration) {
+	t.node.mu.Lock()
+	defer t.node.mu.Unlock()
+	e, _ := t.node.directory.Get(target)
+	return e.Run, t.node.storeAge()
+}
+
 // entryOf returns the directory entry of an owner and how long it has been silent.
 // ok is false if the entry is gone or belongs to another start.
 func (t *term) entryOf(owner keyrange.Owner) (e directory.Entry, silent time.Duration, ok bool) {
--- /dev/null
+++ b/internal/entry/transfer_test.go
@@ -0,0 +1,148 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/mangopost/mangopost/kernel"
+	"github.com/mangopost/mangopost/platform"
+)
+
+// targetOrders answers each order at once and records it.
+type targetOrders struct {
+	mu      sync.Mutex
+	log     []string // such as "grant b"
+	grant   func(platform.Order) error
+	release func(platform.Order) error
+}
+
+func (o *targetOrders) record(verb string, order platform.Order, answer func(platform.Order) error) error {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.log = append(o.log, verb+" "+order.Target)
+	if answer == nil {
+		return nil
+	}
+	return answer(order)
+}
+
+func (o *targetOrders) Grant(_ context.Context, order platform.Order) (bool, error) {
+	return false, o.record("grant", order, o.grant)
+}
+
+func (o *targetOrders) Release(_ context.Context, order platform.Order) (string, error) {
+	return "h", o.record("release", order, o.release)
+}
+
+func (o *targetOrders) Identity(context.Context, string, string) (string, error) { return "", nil }
+
+// sent returns the orders so far, without repetitions in a row.
+func (o *targetOrders) sent() []string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var out []string
+	for _, order := range o.log {
+		if len(out) == 0 || out[len(out)-1] != order {
+			out = append(out, order)
+		}
+	}
+	return out
+}
+
+// newTransferTest returns a term with one range of ownerA that was granted, and the
+// orders that it sends from then on.
+func newTransferTest(t *testing.T) (*term, *targetOrders) {
+	t.Helper()
+	tm, _ := newTestTerm(t)
+	orders := &targetOrders{}
+	tm.orders = orders
+	whole := tm.mapOf("s").keys.Ranges[0]
+	state, claimed := tm.claimRange("s", whole)
+	assert.Assert(t, claimed)
+	assert.Assert(t, tm.grant("s", whole, state))
+	tm.unclaimRange(state)
+	orders.log = nil
+	return tm, orders
+}
+
+// startMove assigns keys 100 to 200 to ownerB and starts the move. done is closed when
+// it has ended.
+func startMove(tm *term) (done chan struct{}) {
+	next := tm.mapOf("s").keys.Clone()
+	next.Assign(100, 200, ownerB)
+	tm.setMap("s", &ownedMap{keys: next, version: 2})
+	moved := next.Ranges[next.IndexOf(100)]
+	state, _ := tm.claimRange("s", moved)
+	done = make(chan struct{})
+	go func() {
+		defer close(done)
+		tm.move("s", moved, state)
+	}()
+	return done
+}
+
+// lockedBuffer is a buffer that a log writes while a test reads it.
+type lockedBuffer struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.Write(p)
+}
+
+func (b *lockedBuffer) lineWith(text string) string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for line := range strings.Lines(b.buf.String()) {
+		if strings.Contains(line, text) {
+			return line
+		}
+	}
+	return ""
+}
+
+// logTo makes a node log to the returned buffer until the test ends.
+func logTo(t *testing.T, n *Node) *lockedBuffer {
+	t.Helper()
+	out := &lockedBuffer{}
+	n.log = kernel.NewEventLog(hclog.New(&hclog.LoggerOptions{Output: out}))
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- n.log.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		<-ended
+	})
+	return out
+}
+
+// Guards against an OWNER report that the logs cannot explain: the ground on which
+// keys were given away is logged with its inputs and their age.
+func TestGroundOfFreedRangeIsLogged(t *testing.T) {
+	tm, orders := newTransferTest(t)
+	out := logTo(t, tm.node)
+	<-startMove(tm)
+	assert.DeepEqual(t, orders.sent(), []string{"release a", "grant b"})
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if out.lineWith("MP6213") == "" {
+			return poll.Continue("not logged")
+		}
+		return poll.Success()
+	}, poll.WithDelay(5*time.Millisecond))
+	line := out.lineWith("MP6213")
+	for _, want := range []string{" target=a", "ground=released", "next_target=b", "released_ms_ago=", "grants_ended_ms_ago=-", "listing_age_ms="} {
+		assert.Assert(t, strings.Contains(line, want), "%q lacks %q", line, want)
+	}
+}
+
