--- a/internal/entry/events.go
+++ b/internal/entry/events.go
@@ -42,7 +42,7 @@
 	evReleased       = kernel.RegisterEvent(6203, hclog.Info, "key range released by its owner")
 	evGranted        = kernel.RegisterEvent(6204, hclog.Info, "key range granted to its new owner")
 	evGrantFailed    = kernel.RegisterEvent(6205, hclog.Warn, "grant failed")
-	evTargetDown     = kernel.RegisterEvent(6206, hclog.Warn, "target has ended")
+	evTargetDown     = kernel.RegisterEvent(6206, hclog.Warn, "target is taken to have ended")
 	evWriteFailed    = kernel.RegisterEvent(6207, hclog.Warn, "owner map not written")
 	evLongGrants     = kernel.RegisterEvent(6208, hclog.Warn, "grant extended: the store does not answer")
 	evReportFailed   = kernel.RegisterEvent(6209, hclog.Warn, "report to the coordinator failed")
--- a/internal/entry/feeds.go
+++ b/internal/entry/feeds.go
@@ -125,7 +125,7 @@
 		n.directory.Remove(steadyClock(), name)
 		return wasKnown
 	}
-	hasReturned := n.directory.Put(steadyClock(), e)
+	hasReturned := n.directory.Put(e)
 	if wasKnown && !hasReturned && before.Leaving == e.Leaving && before.Run == e.Run && before.Addr == e.Addr && before.Slots == e.Slots {
 		return false
 	}
--- a/internal/entry/granting.go
+++ b/internal/entry/granting.go
@@ -22,9 +22,10 @@
 	// inFlightCheckInterval is how often a move checks whether earlier grants are
 	// still in flight or may still be applied.
 	inFlightCheckInterval = 10 * time.Millisecond
-	// minMissedHeartbeats is the number of heartbeats that a target refusing
-	// connections must have missed to count as ended.
-	minMissedHeartbeats = 1.5
+	// suspicionTime is how long after its last refused connection a target gets no
+	// further keys. A target that has ended loses its entry sooner, after three
+	// heartbeats.
+	suspicionTime = 5 * time.Second
 )
 
 // grant sends one grant and reports whether the target accepted it. The lease is
@@ -154,25 +155,31 @@
 	}
 }
 
-// recordRefusal counts a connection refused by a target. The target counts as
-// ended once it refused minRefusals in a row while its entry says that it is not
-// leaving and it has written no heartbeat to a store that answers. A leaving
-// target, or one whose entry is gone, may refuse connections and still work on the
-// keys that it holds.
+// recordRefusal counts a connection refused by a target. After minRefusals in a row the
+// target is suspected to have ended: its keys are planned for other owners, and it gets
+// no further ones. It may still hold keys all the same, because a link that resets
+// connections looks like this too.
 func (t *term) recordRefusal(owner keyrange.Owner) {
-	e, silent, ok := t.entryOf(owner)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	state := t.refusals[owner]
 	state.count++
-	limit := time.Duration(minMissedHeartbeats * float64(t.node.settings.Load().Heartbeat))
-	if !state.hasEnded && state.count >= minRefusals && ok && !e.Leaving && silent > limit {
-		state.hasEnded = true
-		t.node.log.Emit(evTargetDown, "target", owner.Target, "run", owner.Run, "refusals", state.count, "silent_ms", ms(silent))
+	if state.count >= minRefusals {
+		if state.count == minRefusals {
+			t.node.log.Emit(evTargetDown, "target", owner.Target, "run", owner.Run, "refusals", state.count)
+		}
+		state.suspectUntil = leaseClock() + suspicionTime
 	}
 	t.refusals[owner] = state
 }
 
+// isSuspect reports whether a target is suspected, at now, to have ended.
+func (t *term) isSuspect(owner keyrange.Owner, now time.Duration) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.refusals[owner].hasEnded || now < t.refusals[owner].suspectUntil
+}
+
 // hasTargetEnded reports whether a target is known to have ended.
 func (t *term) hasTargetEnded(owner keyrange.Owner) bool {
 	t.mu.Lock()
--- a/internal/entry/plan.go
+++ b/internal/entry/plan.go
@@ -172,7 +172,7 @@
 	var out []hotrange.Target
 	for _, e := range entries {
 		owner := ownerOf(e)
-		if e.Leaving || t.hasTargetEnded(owner) {
+		if e.Leaving || t.isSuspect(owner, leaseClock()) {
 			continue
 		}
 		out = append(out, hotrange.Target{Owner: owner, Capacity: t.candidate.capacity(service, owner.Target, e.Slots)})
--- a/internal/entry/term.go
+++ b/internal/entry/term.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/mangopost/mangopost/lease/coordinator"
-	"github.com/mangopost/mangopost/membership/directory"
 	"github.com/mangopost/mangopost/ownership/grants"
 	"github.com/mangopost/mangopost/ownership/keyrange"
 	"github.com/mangopost/mangopost/platform"
@@ -49,7 +48,7 @@
 	// stay the same before its keys are distributed: about two heartbeats.
 	targetCountStableTime = 1500 * time.Millisecond
 	// minRefusals is how many connections in a row a target must refuse before it
-	// may count as ended.
+	// is suspected to have ended.
 	minRefusals = 3
 )
 
@@ -79,8 +78,9 @@
 
 // refusal counts the connections that a target refused in a row.
 type refusal struct {
-	count    int
-	hasEnded bool // the target is known to have ended
+	count        int
+	suspectUntil time.Duration // until when the target gets no further keys
+	hasEnded     bool          // another target has its address
 }
 
 // orders sends orders to targets. It is implemented by *platform.Orders.
@@ -294,12 +294,3 @@
 	e, _ := t.node.directory.Get(target)
 	return e.Run, t.node.storeAge()
 }
-
-// entryOf returns the directory entry of an owner and how long it has been silent.
-// ok is false if the entry is gone or belongs to another start.
-func (t *term) entryOf(owner keyrange.Owner) (e directory.Entry, silent time.Duration, ok bool) {
-	t.node.mu.Lock()
-	defer t.node.mu.Unlock()
-	e, ok = t.node.directory.Get(owner.Target)
-	return e, t.node.directory.SilentFor(owner.Target), ok && e.Run == owner.Run
-}
--- a/internal/entry/transfer_test.go
+++ b/internal/entry/transfer_test.go
@@ -5,14 +5,18 @@
 	"context"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/go-hclog"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
 	"github.com/mangopost/mangopost/kernel"
+	"github.com/mangopost/mangopost/membership/directory"
+	"github.com/mangopost/mangopost/ownership/grants"
 	"github.com/mangopost/mangopost/platform"
 )
 
@@ -89,6 +93,26 @@
 	return done
 }
 
+// awaitOrders waits until n orders were sent.
+func (o *targetOrders) await(t *testing.T, n int) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		if len(o.log) < n {
+			return poll.Continue("%d of %d orders", len(o.log), n)
+		}
+		return poll.Success()
+	}, poll.WithDelay(5*time.Millisecond))
+}
+
+// endGrants makes all grants of the term count as ended, as they do in time.
+func (t *term) endGrants() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.ledger = grants.NewLedger(-time.Hour, 0, 0)
+}
+
 // lockedBuffer is a buffer that a log writes while a test reads it.
 type lockedBuffer struct {
 	mu  sync.Mutex
@@ -146,3 +170,31 @@
 	}
 }
 
+var errRefused = errors.Join(platform.ErrNotSent, syscall.ECONNREFUSED)
+
+// Guards against keys with two owners (review/1): the coordinator alone lost its path to
+// a target, which resets its connections, while other hosts reach the target.
+func TestRefusedConnectionsDoNotEndHold(t *testing.T) {
+	for name, entry := range map[string]directory.Entry{
+		"entry unchanged":   {Name: "a", Run: 1, Service: "s"},
+		"announces leaving": {Name: "a", Run: 1, Service: "s", Leaving: true},
+		"entry gone":        {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			tm, orders := newTransferTest(t)
+			d := tm.node.directory
+			d.RecordAnswer(0)
+			if entry.Name != "" {
+				d.Put(entry)
+			}
+			d.RecordAnswer(10 * time.Second) // an entry does not change with heartbeats
+			orders.release = func(platform.Order) error { return errRefused }
+			done := startMove(tm)
+			orders.await(t, minRefusals+2)
+			assert.DeepEqual(t, orders.sent(), []string{"release a"})
+			tm.endGrants()
+			<-done
+			assert.DeepEqual(t, orders.sent(), []string{"release a", "grant b"})
+		})
+	}
+}
--- a/membership/directory/directory.go
+++ b/membership/directory/directory.go
@@ -39,20 +39,19 @@
 
 // Directory is one host's list of targets. The zero value is not usable; call New.
 type Directory struct {
-	timing      Timing
-	entries     map[string]Entry
-	heartbeatAt map[string]time.Duration // time of the last change of a target's heartbeat
-	expired     map[string]bool          // entries that are missing since the store returned
-	leaving     map[string]leavingMark   // targets that said in answers that they are leaving
-	answeredAt  time.Duration            // time of the last answer from the store
-	returnedAt  time.Duration            // time at which the store last returned, 0 if never
-	hasAnswer   bool                     // whether the store has answered
+	timing     Timing
+	entries    map[string]Entry
+	expired    map[string]bool        // entries that are missing since the store returned
+	leaving    map[string]leavingMark // targets that said in answers that they are leaving
+	answeredAt time.Duration          // time of the last answer from the store
+	returnedAt time.Duration          // time at which the store last returned, 0 if never
+	hasAnswer  bool                   // whether the store has answered
 }
 
 // New returns an empty directory.
 func New(timing Timing) *Directory {
 	return &Directory{
-		timing: timing, entries: make(map[string]Entry), heartbeatAt: make(map[string]time.Duration),
+		timing: timing, entries: make(map[string]Entry),
 		expired: make(map[string]bool), leaving: make(map[string]leavingMark),
 	}
 }
@@ -74,7 +73,7 @@
 	seen := make(map[string]bool, len(entries))
 	for _, e := range entries {
 		seen[e.Name] = true
-		d.Put(now, e)
+		d.Put(e)
 	}
 	for name := range d.entries {
 		if !seen[name] {
@@ -85,15 +84,12 @@
 
 // Put adds or updates an entry. It reports whether the entry had expired and is
 // back.
-func (d *Directory) Put(now time.Duration, e Entry) (back bool) {
+func (d *Directory) Put(e Entry) (back bool) {
 	back = d.expired[e.Name]
 	delete(d.expired, e.Name)
 	if mark, ok := d.leaving[e.Name]; ok && e.Run > mark.run {
 		delete(d.leaving, e.Name)
 	}
-	if old, ok := d.entries[e.Name]; !ok || old.Heartbeat != e.Heartbeat || old.Run != e.Run {
-		d.heartbeatAt[e.Name] = now
-	}
 	d.entries[e.Name] = e
 	return back
 }
@@ -113,7 +109,6 @@
 
 func (d *Directory) delete(name string) {
 	delete(d.entries, name)
-	delete(d.heartbeatAt, name)
 	delete(d.expired, name)
 }
 
@@ -136,10 +131,6 @@
 	return true
 }
 
-// SilentFor returns the time between the last change of a target's heartbeat and
-// the last answer from the store.
-func (d *Directory) SilentFor(name string) time.Duration { return d.answeredAt - d.heartbeatAt[name] }
-
 // Get returns the entry of a target. It counts as leaving if the entry or the target
 // itself says so.
 func (d *Directory) Get(name string) (Entry, bool) {
