--- a/internal/entry/feeds.go
+++ b/internal/entry/feeds.go
@@ -31,6 +31,17 @@
 	return feeds
 }
 
+// feedOf returns the feed of the objects with the given prefix, which must be one of
+// those of newFeeds.
+func (n *Node) feedOf(prefix string) *feed {
+	for _, f := range n.feeds {
+		if f.prefix == prefix {
+			return f
+		}
+	}
+	panic("no feed of " + prefix)
+}
+
 func configurationFeed(n *Node) *feed {
 	apply := func(objects []objectstore.Object) []objectstore.Object {
 		for _, obj := range objects {
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -351,6 +351,17 @@
 		}
 		return err
 	}
+	if err := f.listFresh(ctx); err != nil {
+		return err
+	}
+	if f.node.candidate.holder().Addr != "" {
+		f.awaitRelay(ctx, restartRelayWait) // the coordinator relays later changes
+	}
+	return nil
+}
+
+// listFresh lists the feed from the store as it is now.
+func (f *feed) listFresh(ctx context.Context) error {
 	batch, err := f.node.store.List(ctx, f.prefix)
 	if err != nil {
 		return err
@@ -359,9 +370,6 @@
 	f.mu.Lock()
 	f.isOwnList, f.needsFresh = true, false
 	f.mu.Unlock()
-	if f.node.candidate.holder().Addr != "" {
-		f.awaitRelay(ctx, restartRelayWait) // the coordinator relays later changes
-	}
 	return nil
 }
 
--- a/internal/entry/ownedmap.go
+++ b/internal/entry/ownedmap.go
@@ -2,12 +2,14 @@
 
 import (
 	"encoding/json"
+	"reflect"
 	"slices"
 
 	"github.com/cockroachdb/errors"
 
 	objectstore "github.com/mangopost/mangopost/internal/platform"
 	"github.com/mangopost/mangopost/ownership/keyrange"
+	"github.com/mangopost/mangopost/platform"
 )
 
 // ownedMap is an owner map as the store acknowledged it, with the moves completed
@@ -59,11 +61,33 @@
 	if err != nil {
 		return err
 	}
+	t.recordRead(service, o)
 	t.setMap(service, &ownedMap{keys: o.keys, version: o.version})
 	t.node.setOwners(service, o)
 	return nil
 }
 
+// recordRead records the version of a map that was read, unless this term wrote it.
+func (t *term) recordRead(service string, o owners) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !reflect.DeepEqual(o.keys, t.sentMaps[service]) {
+		t.listingFloors[service] = o.version
+	}
+}
+
+// refreshListing lists the targets anew if the known listing is older than the map of a
+// service: it would lack targets, or show earlier runs of those that own keys.
+func (t *term) refreshListing(service string) error {
+	t.mu.Lock()
+	floor := t.listingFloors[service]
+	t.mu.Unlock()
+	if f := t.node.feedOf(platform.TargetPrefix); f.revision() < floor {
+		return f.listFresh(t.ctx)
+	}
+	return nil
+}
+
 // saveMap writes a map on the condition that the stored one is the one that this
 // term knows. It retries until a write is acknowledged or another writer was
 // first. saving is held.
@@ -76,6 +100,9 @@
 		return errors.Wrap(err, "encode owner map")
 	}
 	owned := t.mapOf(service)
+	t.mu.Lock()
+	t.sentMaps[service] = next
+	t.mu.Unlock()
 	for {
 		if !t.candidate.holdsLease() {
 			t.setMap(service, nil)
--- a/internal/entry/plan.go
+++ b/internal/entry/plan.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/mangopost/mangopost/ownership/keyrange"
 	"github.com/mangopost/mangopost/placement/hotrange"
 )
@@ -24,6 +26,9 @@
 			return err
 		}
 	}
+	if err := t.refreshListing(service); err != nil {
+		return errors.Wrap(err, "list targets for the map")
+	}
 	owned := t.mapOf(service)
 	targets := t.targets(service)
 	switch {
--- a/internal/entry/term.go
+++ b/internal/entry/term.go
@@ -69,6 +69,11 @@
 	rangeStates map[rangeKey]*rangeState
 	closed      bool // no further order is sent
 
+	sentMaps map[string]*keyrange.Map // last map of each service that this term tried to write
+	// listingFloors holds for each service the version of the map that another
+	// coordinator wrote: an older listing of targets does not go with it.
+	listingFloors map[string]uint64
+
 	targetCounts map[string]targetCount // by service; used by run alone
 
 	savedAggregators   string // as last written or read; used by run alone
@@ -115,6 +120,9 @@
 		refusals:    make(map[keyrange.Owner]refusal),
 		rangeStates: make(map[rangeKey]*rangeState),
 
+		sentMaps:      make(map[string]*keyrange.Map),
+		listingFloors: make(map[string]uint64),
+
 		targetCounts: make(map[string]targetCount),
 	}
 }
@@ -277,13 +285,13 @@
 	})
 }
 
-// isSuperseded reports whether the directory has another start of the owner's
-// target, or another target in its place.
+// isSuperseded reports whether the directory has a later run of the owner's target. An
+// entry of an earlier run is out of date.
 func (t *term) isSuperseded(owner keyrange.Owner) bool {
 	t.node.mu.Lock()
 	defer t.node.mu.Unlock()
 	e, ok := t.node.directory.Get(owner.Target)
-	return ok && e.Run != owner.Run
+	return ok && e.Run > owner.Run
 }
 
 // entryRun returns the run of a target in the directory, 0 if it has none, and the age
--- a/internal/entry/transfer_test.go
+++ b/internal/entry/transfer_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"syscall"
@@ -17,7 +18,9 @@
 	"github.com/mangopost/mangopost/kernel"
 	"github.com/mangopost/mangopost/membership/directory"
 	"github.com/mangopost/mangopost/ownership/grants"
+	"github.com/mangopost/mangopost/ownership/keyrange"
 	"github.com/mangopost/mangopost/platform"
+	"github.com/mangopost/mangopost/platform/standin"
 )
 
 // targetOrders answers each order at once and records it.
@@ -219,3 +222,32 @@
 		})
 	}
 }
+
+// Guards against a plan that takes the keys of a living target away (review/3): a
+// restarted coordinator read the map fresh, but its listing is seconds old and shows the
+// run before of a target that owns keys.
+func TestNewCoordinatorPlansWithListingOfItsMap(t *testing.T) {
+	tm, _ := newTestTerm(t)
+	tm.orders = &targetOrders{}
+	store := standin.NewStore()
+	server := httptest.NewServer(store)
+	t.Cleanup(server.Close)
+	tm.node.store.SetAddr(server.Listener.Addr().String())
+	entry := func(run int64) any { return standin.TargetEntry("s", ownerA.Addr, "here", 4, "ready", 1, run) }
+	other := standin.TargetEntry("s", ownerB.Addr, "here", 4, "ready", 1, 1)
+	store.Set("servers/a", entry(1))
+	store.Set("servers/b", other)
+	feed := tm.node.feedOf(platform.TargetPrefix)
+	assert.NilError(t, feed.listFresh(t.Context()))
+
+	store.Set("servers/a", entry(2))
+	next := keyrange.Owner{Target: "a", Run: 2, Addr: ownerA.Addr}
+	store.Set(ownersPrefix+"s", keyrange.New("s", []keyrange.Owner{next, ownerB}, []float64{1, 1}))
+	tm.setMap("s", nil)
+	assert.NilError(t, tm.planService("s"))
+	owned := tm.mapOf("s")
+	assert.Equal(t, owned.keys.Ranges[0].Owner, next, "the keys stay with the living run")
+	assert.Equal(t, len(tm.targets("s")), 2)
+	assert.Assert(t, tm.isSuperseded(ownerA))
+	assert.Assert(t, !tm.isSuperseded(keyrange.Owner{Target: "a", Run: 3}), "the entry is of an earlier run")
+}
