--- a/internal/entry/callerconn.go
+++ b/internal/entry/callerconn.go
@@ -59,6 +59,7 @@
 	err       error  // of readAhead, to be returned once
 	hasEnded  bool   // the caller has disconnected
 	isClosing bool
+	deadline  time.Time // of reads; zero for none
 }
 
 // callerConnKey is the context key of a request's callerConn.
@@ -131,10 +132,11 @@
 		c.mu.Lock()
 		c.buffered = append(c.buffered, chunk[:n]...)
 		c.hasEnded = c.hasEnded || isDisconnect(err)
-		if isDisconnect(err) || c.waiting && len(c.buffered) == 0 {
+		isOutdated := isTimeout(err) && !c.hasExpired()
+		if isDisconnect(err) || c.waiting && len(c.buffered) == 0 && !isOutdated {
 			c.err = err
 		} // otherwise a deadline has passed that concerns no reader
-		c.reading = err == nil && len(c.buffered) < maxReadAhead
+		c.reading = (err == nil || isOutdated) && len(c.buffered) < maxReadAhead
 		ended, goOn := c.hasEnded, c.reading
 		c.changed.Broadcast()
 		c.mu.Unlock()
@@ -147,7 +149,26 @@
 	}
 }
 
-func isDisconnect(err error) bool { return err != nil && !errors.Is(err, os.ErrDeadlineExceeded) }
+func isTimeout(err error) bool { return errors.Is(err, os.ErrDeadlineExceeded) }
+
+func isDisconnect(err error) bool { return err != nil && !isTimeout(err) }
+
+// hasExpired reports whether the read deadline has passed. A read that was interrupted
+// by an earlier deadline returns after a later one was set. mu is held.
+func (c *callerConn) hasExpired() bool { return !c.deadline.IsZero() && !time.Now().Before(c.deadline) }
+
+// SetReadDeadline implements net.Conn.
+func (c *callerConn) SetReadDeadline(at time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.deadline = at
+	return c.Conn.SetReadDeadline(at)
+}
+
+// SetDeadline implements net.Conn.
+func (c *callerConn) SetDeadline(at time.Time) error {
+	return errors.CombineErrors(c.SetReadDeadline(at), c.SetWriteDeadline(at))
+}
 
 // CloseWrite closes the sending direction.
 func (c *callerConn) CloseWrite() error {
--- a/internal/entry/callerconn_test.go
+++ b/internal/entry/callerconn_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -207,3 +208,60 @@
 	assert.Assert(t, time.Since(began) < time.Second)
 	assert.Equal(t, len(target.received()), 0, "it must not run")
 }
+
+// stepConn is a connection whose reads return what the test sends.
+type stepConn struct {
+	net.Conn
+	started chan struct{}
+	results chan error // nil for one byte
+}
+
+func (c *stepConn) Read(p []byte) (int, error) {
+	c.started <- struct{}{}
+	if err := <-c.results; err != nil {
+		return 0, err
+	}
+	p[0] = 'x'
+	return 1, nil
+}
+
+func (c *stepConn) SetReadDeadline(time.Time) error { return nil }
+
+// Guards against callers that send requests ahead and are cut off without an answer: the
+// deadline with which net/http ends its watch of a connection interrupted a read that
+// returned only when the next request was awaited.
+func TestOutdatedDeadlineDoesNotEndNextRead(t *testing.T) {
+	inner := &stepConn{started: make(chan struct{}), results: make(chan error)}
+	c := &callerConn{Conn: inner, handling: true}
+	c.changed.L = &c.mu
+	read := make(chan error)
+	go func() {
+		_, err := c.Read(make([]byte, 1))
+		read <- err
+	}()
+	<-inner.started
+	inner.results <- nil
+	assert.NilError(t, <-read)
+	<-inner.started // reads ahead
+	assert.NilError(t, c.SetReadDeadline(time.Unix(1, 0)))
+	assert.NilError(t, c.SetReadDeadline(time.Time{}))
+	go func() {
+		_, err := c.Read(make([]byte, 1))
+		read <- err
+	}()
+	for waits := false; !waits; time.Sleep(time.Millisecond) {
+		c.mu.Lock()
+		waits = c.waiting
+		c.mu.Unlock()
+	}
+	inner.results <- os.ErrDeadlineExceeded
+	select {
+	case err := <-read:
+		t.Fatalf("the read ended with %v", err)
+	case <-inner.started: // the read goes on
+	}
+	inner.results <- nil
+	assert.NilError(t, <-read)
+	<-inner.started
+	inner.results <- io.EOF
+}
