--- a/internal/entry/granting.go
+++ b/internal/entry/granting.go
@@ -43,14 +43,15 @@
 		t.mu.Unlock()
 		return false
 	}
-	s.renewed = leaseClock()
+	sentAt := leaseClock()
+	s.renewed = sentAt
 	order := platform.Order{
 		Target: r.Owner.Target, Addr: r.Owner.Addr, From: r.From, To: r.To, Fence: r.Fence, Hold: holdFor, Handover: s.handover,
 	}
 	t.ledger.BeginSend(r.Owner, r.Fence)
 	t.mu.Unlock()
 	leaving, err := t.sendGrant(order)
-	t.recordGrantResult(service, r, holdFor, err)
+	t.recordGrantResult(service, r, holdFor, sentAt, err)
 	if leaving {
 		t.node.recordLeaving(directory.Run{Target: r.Owner.Target, Run: r.Owner.Run}, "grant")
 	}
@@ -66,15 +67,15 @@
 }
 
 // recordGrantResult updates the ledger, the metrics and the state of the target
-// after a grant.
-func (t *term) recordGrantResult(service string, r keyrange.Range, holdFor time.Duration, err error) {
+// after a grant that was sent at sentAt.
+func (t *term) recordGrantResult(service string, r keyrange.Range, holdFor, sentAt time.Duration, err error) {
 	t.mu.Lock()
 	now := leaseClock()
 	switch {
+	case errors.IsAny(err, platform.ErrNotSent, platform.ErrOtherTarget):
+		t.ledger.CancelSend(r.Owner, r.Fence)
 	case err == nil || platform.IsTargetAnswer(err):
 		t.ledger.RecordAnswer(now, r.Owner, r.Fence, holdFor)
-	case errors.Is(err, platform.ErrNotSent):
-		t.ledger.CancelSend(r.Owner, r.Fence)
 	default:
 		t.ledger.RecordReset(now, r.Owner, r.Fence, holdFor)
 	}
@@ -89,23 +90,24 @@
 		t.node.log.Emit(evGrantFailed, "service", service, "from", r.From, "to", r.To, "target", r.Owner.Target,
 			"fence", r.Fence, "error", err.Error())
 	}
-	t.recordOrderFailure(r.Owner, err)
+	t.recordOrderFailure(r.Owner, sentAt, err)
 	if isConnRefused(err) {
 		t.expediteGrant(service, r)
 	}
 }
 
-// recordOrderFailure updates the state of a target according to the error of an
-// order.
-func (t *term) recordOrderFailure(owner keyrange.Owner, err error) {
+// recordOrderFailure updates the state of a target according to the error of an order
+// that was sent at sentAt.
+func (t *term) recordOrderFailure(owner keyrange.Owner, sentAt time.Duration, err error) {
 	switch {
 	case errors.Is(err, platform.ErrOtherTarget):
-		t.markReplaced(owner)
+		t.markReplaced(owner, sentAt)
 	case errors.Is(err, platform.ErrRefusedOrder):
 		// A target of a service without keys accepts no orders and does not check
 		// whether an order is addressed to it.
+		askedAt := leaseClock()
 		if name, err := t.orders.Identity(t.ctx, owner.Addr, t.healthCheck()); err == nil && name != "" && name != owner.Target {
-			t.markReplaced(owner)
+			t.markReplaced(owner, askedAt)
 		}
 	case isConnRefused(err):
 		t.recordRefusal(owner)
@@ -124,15 +126,19 @@
 	return "/"
 }
 
-// markReplaced marks an owner as ended because another target has its address: an
-// address is reused only after its target has ended.
-func (t *term) markReplaced(owner keyrange.Owner) {
+// markReplaced records that another target, asked at askedAt, answered at an owner's
+// address: an address is reused only after its target has ended. The target may have
+// returned since, so this says nothing about later grants.
+func (t *term) markReplaced(owner keyrange.Owner, askedAt time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !t.refusals[owner].hasEnded {
+	t.ledger.RecordAbsence(askedAt, owner)
+	state := t.refusals[owner]
+	if state.suspectUntil == 0 {
 		t.node.log.Emit(evTargetDown, "target", owner.Target, "run", owner.Run, "address", "another target's")
 	}
-	t.refusals[owner] = refusal{hasEnded: true}
+	state.suspectUntil = leaseClock() + suspicionTime
+	t.refusals[owner] = state
 }
 
 // expediteGrant makes the next grant of a range due shortly, to find out soon
@@ -150,9 +156,7 @@
 func (t *term) markReachable(owner keyrange.Owner) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !t.refusals[owner].hasEnded {
-		delete(t.refusals, owner)
-	}
+	delete(t.refusals, owner)
 }
 
 // recordRefusal counts a connection refused by a target. After minRefusals in a row the
@@ -177,14 +181,7 @@
 func (t *term) isSuspect(owner keyrange.Owner, now time.Duration) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.refusals[owner].hasEnded || now < t.refusals[owner].suspectUntil
-}
-
-// hasTargetEnded reports whether a target is known to have ended.
-func (t *term) hasTargetEnded(owner keyrange.Owner) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.refusals[owner].hasEnded
+	return now < t.refusals[owner].suspectUntil
 }
 
 // move ends the grants of a range's previous owners, grants the range to the new
@@ -210,10 +207,6 @@
 func (t *term) awaitFree(service string, r keyrange.Range, prev keyrange.Previous, s *rangeState) bool {
 	transfer := grants.NewTransfer(prev)
 	for t.isCurrent(service, r) {
-		if reason := t.assumedEnd(prev.Owner); reason != "" {
-			t.logFreed(service, r, prev, reason, grants.Decision{})
-			return true
-		}
 		pause := inFlightCheckInterval
 		switch d := t.nextStep(transfer); d.Step {
 		case grants.StepWait:
@@ -221,7 +214,7 @@
 				pause = moveRetryInterval
 			}
 		case grants.StepFree:
-			t.logFreed(service, r, prev, string(d.Ground), d)
+			t.logFreed(service, r, prev, d)
 			return true
 		case grants.StepRelease:
 			if t.releaseRange(service, r, prev, s, transfer) {
@@ -245,9 +238,10 @@
 
 // releaseRange asks a previous owner to release a range and reports whether it did.
 func (t *term) releaseRange(service string, r keyrange.Range, prev keyrange.Previous, s *rangeState, transfer *grants.Transfer) bool {
+	sentAt := leaseClock()
 	handover, err := t.release(r, prev)
 	if err != nil {
-		t.recordOrderFailure(prev.Owner, err)
+		t.recordOrderFailure(prev.Owner, sentAt, err)
 		return false
 	}
 	transfer.RecordRelease(leaseClock())
@@ -258,30 +252,22 @@
 	return true
 }
 
-// assumedEnd returns the reason why an owner counts as ended without a release or the
-// end of its grants, or "".
-func (t *term) assumedEnd(owner keyrange.Owner) string {
-	if t.hasTargetEnded(owner) {
-		return "target-ended"
-	}
-	return ""
-}
-
 // logFreed logs on what ground a previous owner is taken to hold a range no more. Times
 // are relative to now; a negative age lies ahead.
-func (t *term) logFreed(service string, r keyrange.Range, prev keyrange.Previous, ground string, d grants.Decision) {
+func (t *term) logFreed(service string, r keyrange.Range, prev keyrange.Previous, d grants.Decision) {
 	now := leaseClock()
 	entryRun, entryAge := t.entryRun(prev.Target)
 	fields := []any{
 		"service", service, "from", r.From, "to", r.To, "target", prev.Target, "run", prev.Run, "address", prev.Addr, "fence", prev.Fence,
-		"next_target", r.Owner.Target, "next_fence", r.Fence, "ground", ground, "entry_run", entryRun, "listing_age_ms", ms(entryAge),
-	}
-	if d.IsSettled {
-		fields = append(fields, "grants_ended_ms_ago", ms(now-d.Until), "unanswered_ended_ms_ago", ms(now-d.UnansweredUntil))
+		"next_target", r.Owner.Target, "next_fence", r.Fence, "ground", string(d.Ground), "entry_run", entryRun, "listing_age_ms", ms(entryAge),
+		"grants_ended_ms_ago", ms(now - d.Until), "unanswered_ended_ms_ago", ms(now - d.UnansweredUntil),
 	}
 	if d.ReleasedAt > 0 {
 		fields = append(fields, "released_ms_ago", ms(now-d.ReleasedAt))
 	}
+	if d.AbsentAt > 0 {
+		fields = append(fields, "replaced_ms_ago", ms(now-d.AbsentAt))
+	}
 	t.node.log.Emit(evFreed, fields...)
 }
 
--- a/internal/entry/granting_test.go
+++ b/internal/entry/granting_test.go
@@ -182,7 +182,7 @@
 // Guards against keys that stay without an owner for the rest of a grant (11 s)
 // after their target was replaced at its address: an address is reused only after
 // its target has ended.
-func TestOtherTargetAtAddressMarksOwnerEnded(t *testing.T) {
+func TestOtherTargetAtAddressEndsEarlierGrants(t *testing.T) {
 	for name, c := range map[string]struct {
 		err      error
 		identity string
@@ -197,8 +197,22 @@
 		t.Run(name, func(t *testing.T) {
 			tm, fake := newTestTerm(t)
 			fake.identity = c.identity
-			tm.recordOrderFailure(ownerA, c.err)
-			assert.Equal(t, tm.hasTargetEnded(ownerA), c.ended)
+			hasEnded := func() bool {
+				end, settled := tm.ledger.EndOf(ownerA, 1)
+				return settled && leaseClock() >= end
+			}
+			grantA := func() {
+				tm.ledger.BeginSend(ownerA, 1)
+				tm.ledger.RecordAnswer(leaseClock(), ownerA, 1, grantHold)
+			}
+			grantA()
+			sentAt := leaseClock()
+			tm.recordOrderFailure(ownerA, sentAt, c.err)
+			assert.Equal(t, hasEnded(), c.ended)
+			assert.Equal(t, tm.isSuspect(ownerA, leaseClock()), c.ended)
+			grantA()
+			tm.recordOrderFailure(ownerA, sentAt, c.err)
+			assert.Assert(t, c.err == platform.ErrRefusedOrder || !hasEnded(), "a later run of the target may have taken the second grant")
 		})
 	}
 }
--- a/internal/entry/term.go
+++ b/internal/entry/term.go
@@ -81,11 +81,11 @@
 	aggregatorsSavedAt time.Duration
 }
 
-// refusal counts the connections that a target refused in a row.
+// refusal counts the connections that a target refused in a row, and says how long the
+// target is suspected to have ended.
 type refusal struct {
 	count        int
 	suspectUntil time.Duration // until when the target gets no further keys
-	hasEnded     bool          // another target has its address
 }
 
 // orders sends orders to targets. It is implemented by *platform.Orders.
@@ -136,7 +136,9 @@
 	recordedEnd := func(ms int64) time.Duration {
 		return seenAt + time.Duration(ms)*time.Millisecond + grants.Margin
 	}
-	return grants.NewLedgerWithFloor(grants.Floor{End: recordedEnd(before.EndMs), UnansweredEnd: recordedEnd(before.UnclearMs)})
+	return grants.NewLedgerWithFloor(grants.Floor{
+		End: recordedEnd(before.EndMs), UnansweredEnd: recordedEnd(before.UnclearMs), ArrivedBy: seenAt + grantTimeout + grants.Margin,
+	})
 }
 
 // quiesce stops the sending of orders, waits until those in flight are settled,
@@ -155,7 +157,7 @@
 		}
 		if now >= until || !sleep(t.ctx, inFlightCheckInterval) {
 			end := grants.End(now+grantTimeout, longGrantHold)
-			return grants.Floor{End: end, UnansweredEnd: end}
+			return grants.Floor{End: end, UnansweredEnd: end, ArrivedBy: now + grantTimeout + grants.Margin}
 		}
 	}
 }
--- a/ownership/grants/ledger.go
+++ b/ownership/grants/ledger.go
@@ -9,6 +9,7 @@
 package grants
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -31,14 +32,22 @@
 }
 
 type grantKey struct {
+	owner keyrange.Owner
+	fence uint64
+}
+
+// place is where orders to a target go. Any run of the target may answer there.
+type place struct {
 	target string
-	run    int64
-	fence  uint64
+	addr   string
 }
 
+func placeOf(o keyrange.Owner) place { return place{o.Target, o.Addr} }
+
 type entry struct {
 	end           time.Duration // latest end of all grants
 	unansweredEnd time.Duration // latest end of the grants that were not answered
+	arrivedBy     time.Duration // latest time at which a settled grant can have arrived
 	inFlight      int           // grants without an answer or a reset so far
 	inheritedFrom []grantKey    // earlier fences under which the owner held the keys
 	isNewFence    bool          // no earlier coordinator granted keys under this fence
@@ -49,12 +58,16 @@
 type Ledger struct {
 	entries map[grantKey]*entry
 	floor   Floor
+	// absentAt holds when a place was last known to have no run of the target: grants
+	// that had arrived there before were taken by runs that have ended.
+	absentAt map[place]time.Duration
 }
 
 // Floor is the time until which grants of earlier coordinators may be valid.
 type Floor struct {
 	End           time.Duration // latest end of all grants
 	UnansweredEnd time.Duration // latest end of the unanswered grants, which may be applied after a release
+	ArrivedBy     time.Duration // latest time at which such a grant can have arrived
 }
 
 // NewLedger returns the ledger of a coordinator that took over at now without
@@ -62,13 +75,13 @@
 // grant of length hold, whose connection it would reset after timeout.
 func NewLedger(now, timeout, hold time.Duration) *Ledger {
 	end := End(now+timeout, hold)
-	return NewLedgerWithFloor(Floor{End: end, UnansweredEnd: end})
+	return NewLedgerWithFloor(Floor{End: end, UnansweredEnd: end, ArrivedBy: now + timeout + Margin})
 }
 
 // NewLedgerWithFloor returns the ledger of a coordinator whose predecessor handed
 // over its floor.
 func NewLedgerWithFloor(f Floor) *Ledger {
-	return &Ledger{entries: make(map[grantKey]*entry), floor: f}
+	return &Ledger{entries: make(map[grantKey]*entry), floor: f, absentAt: make(map[place]time.Duration)}
 }
 
 // Floor returns the time until which grants of this and of earlier coordinators
@@ -76,14 +89,14 @@
 func (l *Ledger) Floor() (f Floor, ok bool) {
 	f, ok = l.floor, true
 	for _, e := range l.entries {
-		f.End, f.UnansweredEnd = max(f.End, e.end), max(f.UnansweredEnd, e.unansweredEnd)
+		f.End, f.UnansweredEnd, f.ArrivedBy = max(f.End, e.end), max(f.UnansweredEnd, e.unansweredEnd), max(f.ArrivedBy, e.arrivedBy)
 		ok = ok && e.inFlight == 0
 	}
 	return f, ok
 }
 
 func (l *Ledger) entry(owner keyrange.Owner, fence uint64) *entry {
-	k := grantKey{owner.Target, owner.Run, fence}
+	k := grantKey{owner, fence}
 	e := l.entries[k]
 	if e == nil {
 		e = &entry{}
@@ -101,6 +114,7 @@
 func (l *Ledger) RecordAnswer(now time.Duration, owner keyrange.Owner, fence uint64, hold time.Duration) {
 	e := l.entry(owner, fence)
 	e.inFlight--
+	e.arrivedBy = max(e.arrivedBy, now)
 	e.end = max(e.end, End(now, hold))
 }
 
@@ -108,18 +122,19 @@
 func (l *Ledger) RecordReset(now time.Duration, owner keyrange.Owner, fence uint64, hold time.Duration) {
 	e := l.entry(owner, fence)
 	e.inFlight--
+	e.arrivedBy = max(e.arrivedBy, now+Margin)
 	e.end = max(e.end, End(now, hold))
 	e.unansweredEnd = max(e.unansweredEnd, End(now, hold))
 }
 
-// CancelSend records that no byte of a grant was sent. Such a grant cannot arrive,
-// so it extends no end.
+// CancelSend records that no byte of a grant was sent, or that another target answered
+// that the grant is not for it. No run of the owner's target took such a grant.
 func (l *Ledger) CancelSend(owner keyrange.Owner, fence uint64) { l.entry(owner, fence).inFlight-- }
 
 // EndOf returns the time by which every grant of the owner under this fence has
 // ended. ok is false while a grant is in flight.
 func (l *Ledger) EndOf(owner keyrange.Owner, fence uint64) (end time.Duration, ok bool) {
-	k := grantKey{owner.Target, owner.Run, fence}
+	k := grantKey{owner, fence}
 	end, _, ok = l.latestEnds(k)
 	return max(end, l.floorFor(k).End), ok
 }
@@ -127,16 +142,31 @@
 // EndOfUnanswered is like EndOf, but only for the grants that were not answered:
 // these may be applied after the owner released the keys.
 func (l *Ledger) EndOfUnanswered(owner keyrange.Owner, fence uint64) (end time.Duration, ok bool) {
-	k := grantKey{owner.Target, owner.Run, fence}
+	k := grantKey{owner, fence}
 	_, end, ok = l.latestEnds(k)
 	return max(end, l.floorFor(k).UnansweredEnd), ok
 }
 
+// RecordAbsence records that at asOf no run of the owner's target was at its address,
+// for example because another target, asked then, answered there. It ends the grants
+// that had been settled by then, but not those that a later run may have taken.
+func (l *Ledger) RecordAbsence(asOf time.Duration, owner keyrange.Owner) {
+	p := placeOf(owner)
+	l.absentAt[p] = max(l.absentAt[p], asOf)
+}
+
+// isAbsent reports whether the owner's place was known to be empty after every grant
+// had arrived that can have arrived by the given time. Times are positive.
+func (l *Ledger) isAbsent(owner keyrange.Owner, arrivedBy time.Duration) bool {
+	asOf, ok := l.absentAt[placeOf(owner)]
+	return ok && arrivedBy <= asOf
+}
+
 // floorFor returns the time until which grants of earlier coordinators may be
 // valid under a fence. This coordinator does not know which of them were
 // answered, so a release does not end them.
 func (l *Ledger) floorFor(k grantKey) Floor {
-	if e := l.entries[k]; e != nil && e.isNewFence {
+	if e := l.entries[k]; e != nil && e.isNewFence || l.isAbsent(k.owner, l.floor.ArrivedBy) {
 		return Floor{}
 	}
 	return l.floor
@@ -155,7 +185,10 @@
 	if e == nil {
 		return 0, 0, true
 	}
-	end, unansweredEnd, ok = e.end, e.unansweredEnd, e.inFlight == 0
+	ok = e.inFlight == 0
+	if !ok || !l.isAbsent(k.owner, e.arrivedBy) {
+		end, unansweredEnd = e.end, e.unansweredEnd
+	}
 	for _, earlier := range e.inheritedFrom {
 		earlierEnd, earlierUnansweredEnd, earlierOK := l.latestEnds(earlier)
 		end, unansweredEnd, ok = max(end, earlierEnd), max(unansweredEnd, earlierUnansweredEnd), ok && earlierOK
@@ -168,7 +201,7 @@
 // too, including those in flight.
 func (l *Ledger) Inherit(owner keyrange.Owner, before, after uint64) {
 	e := l.entry(owner, after)
-	e.inheritedFrom = append(e.inheritedFrom, grantKey{owner.Target, owner.Run, before})
+	e.inheritedFrom = append(e.inheritedFrom, grantKey{owner, before})
 }
 
 // RemoveEnded removes entries whose grants all ended before now.
@@ -179,4 +212,17 @@
 			delete(l.entries, k)
 		}
 	}
+	l.forgetAbsences(now)
+}
+
+// forgetAbsences drops the absences that no grant depends on.
+func (l *Ledger) forgetAbsences(now time.Duration) {
+	if l.floor.End >= now {
+		return
+	}
+	used := make(map[place]bool)
+	for k := range l.entries {
+		used[placeOf(k.owner)] = true
+	}
+	maps.DeleteFunc(l.absentAt, func(p place, _ time.Duration) bool { return !used[p] })
 }
--- /dev/null
+++ b/ownership/grants/search_test.go
@@ -0,0 +1,484 @@
+package grants_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/mangopost/mangopost/ownership/grants"
+	"github.com/mangopost/mangopost/ownership/keyrange"
+)
+
+const (
+	orderTimeout = 600 * time.Millisecond
+	longHold     = 7 * time.Second
+	// takeoverMargin is the least time between the last order of a coordinator that
+	// lost its lease and the next coordinator's start.
+	takeoverMargin = 400 * time.Millisecond
+	searchSteps    = 400
+)
+
+// process is a running target at an address, with its hold of the one key.
+type process struct {
+	owner     keyrange.Owner
+	fence     uint64 // highest fence seen
+	holdFence uint64
+	until     time.Duration
+}
+
+// order is an order on its way.
+type order struct {
+	isRelease bool
+	owner     keyrange.Owner
+	fence     uint64
+	hold      time.Duration
+	sentAt    time.Duration
+	arrival   time.Duration
+	answer    time.Duration // 0 if no answer comes
+	isRefused bool          // the path refuses the connection
+	delay     time.Duration // between the arrival and the application of a grant
+	transfer  *grants.Transfer
+	term      int
+	arrived   bool
+	err       outcome
+	done      bool
+}
+
+type outcome int
+
+const (
+	accepted  outcome = iota
+	refused           // no connection
+	elsewhere         // another target answered
+	fenced
+)
+
+// lateGrant is a grant that arrived and is applied later.
+type lateGrant struct {
+	to    *process
+	fence uint64
+	at    time.Duration
+	until time.Duration
+}
+
+// searchWorld has one key, targets that start and end at a few addresses, and one
+// coordinator at a time that moves the key by the ledger's decisions.
+type searchWorld struct {
+	random    *rand.Rand
+	now       time.Duration
+	processes map[string]*process // by address
+	late      []lateGrant
+	orders    []*order
+	runs      int64
+
+	term      int
+	startsAt  time.Duration // of the coordinator, if in the future
+	ledger    *grants.Ledger
+	owner     keyrange.Owner
+	fence     uint64
+	prev      []keyrange.Previous
+	transfers []*grants.Transfer
+	free      []bool
+	releasing []bool
+	granting  bool
+
+	known    []keyrange.Owner // every run that a listing, however old, may show
+	refusals map[keyrange.Owner]int
+	absences map[keyrange.Owner]bool
+	trace    []string
+	unsound  ground
+}
+
+// ground is an unsound rule for the end of a hold, or nil.
+type ground func(w *searchWorld, prev keyrange.Previous) bool
+
+func (w *searchWorld) logf(format string, args ...any) {
+	w.trace = append(w.trace, fmt.Sprintf("%6d ms ", w.now.Milliseconds())+fmt.Sprintf(format, args...))
+}
+
+func (w *searchWorld) duration(limit time.Duration) time.Duration {
+	return time.Duration(w.random.Int64N(int64(limit))) + time.Millisecond
+}
+
+func (w *searchWorld) chance(percent int) bool { return w.random.IntN(100) < percent }
+
+func newSearchWorld(seed uint64, unsound ground) *searchWorld {
+	w := &searchWorld{
+		random: rand.New(rand.NewPCG(seed, 25)), now: time.Minute, processes: make(map[string]*process),
+		refusals: make(map[keyrange.Owner]int), absences: make(map[keyrange.Owner]bool), unsound: unsound,
+	}
+	for range 3 {
+		w.startTarget()
+	}
+	w.ledger = grants.NewLedger(w.now, orderTimeout, longHold)
+	w.owner, w.fence = w.known[0], 1
+	w.ledger.MarkNewFence(w.owner, w.fence)
+	return w
+}
+
+// startTarget starts a target at a free address: often under a name that was there
+// before, and often with nothing else changed.
+func (w *searchWorld) startTarget() {
+	addr := fmt.Sprintf("addr%d", w.random.IntN(4))
+	name := fmt.Sprintf("t%d", w.random.IntN(4))
+	for _, p := range w.processes {
+		if p.owner.Target == name {
+			return
+		}
+	}
+	if w.processes[addr] != nil {
+		return
+	}
+	w.runs++
+	p := &process{owner: keyrange.Owner{Target: name, Run: w.runs, Addr: addr}}
+	w.processes[addr] = p
+	w.known = append(w.known, p.owner)
+	w.logf("start %v", p.owner)
+}
+
+func (w *searchWorld) endTarget() {
+	addr := fmt.Sprintf("addr%d", w.random.IntN(4))
+	if p := w.processes[addr]; p != nil {
+		w.logf("end %v", p.owner)
+		delete(w.processes, addr)
+	}
+}
+
+func (w *searchWorld) send(o *order) {
+	o.sentAt, o.term = w.now, w.term
+	o.arrival = w.now + w.duration(orderTimeout/2)
+	o.isRefused = w.chance(15)
+	if w.chance(80) {
+		o.answer = o.arrival + w.duration(orderTimeout/2)
+	}
+	if !o.isRelease && w.chance(20) {
+		// Only a grant that gets no answer may be applied late.
+		o.delay, o.answer = w.duration(6*time.Second), 0
+	}
+	w.orders = append(w.orders, o)
+}
+
+// arrive handles an order at its address.
+func (w *searchWorld) arrive(o *order) {
+	o.arrived = true
+	p := w.processes[o.owner.Addr]
+	switch {
+	case p == nil || o.isRefused:
+		o.err, o.answer = refused, w.now
+	case p.owner.Target != o.owner.Target:
+		o.err = elsewhere
+	case o.isRelease:
+		if p.holdFence <= o.fence {
+			p.until = 0
+		}
+	case o.fence < p.fence:
+		o.err = fenced
+	default:
+		until := w.now + o.hold + time.Duration(w.random.Float64()*grants.ClockDrift*float64(o.hold))
+		w.late = append(w.late, lateGrant{to: p, fence: o.fence, at: w.now + o.delay, until: until})
+	}
+	w.logf("arrives: %v %s fence %d, outcome %d, applied %d ms later", o.owner, kind(o), o.fence, o.err, o.delay.Milliseconds())
+}
+
+func kind(o *order) string {
+	if o.isRelease {
+		return "release"
+	}
+	return "grant"
+}
+
+func (w *searchWorld) applyLate() {
+	kept := w.late[:0]
+	for _, g := range w.late {
+		if g.at > w.now {
+			kept = append(kept, g)
+			continue
+		}
+		if w.processes[g.to.owner.Addr] == g.to && g.fence >= g.to.fence && g.until > w.now {
+			g.to.fence, g.to.holdFence, g.to.until = g.fence, g.fence, max(g.to.until, g.until)
+			w.logf("applied: %v fence %d until %d ms", g.to.owner, g.fence, g.until.Milliseconds())
+		}
+	}
+	w.late = kept
+}
+
+// settle passes the outcome of an order to the coordinator that sent it.
+func (w *searchWorld) settle(o *order, isReset bool) {
+	o.done = true
+	if o.term != w.term {
+		return
+	}
+	switch {
+	case o.err == refused:
+		w.refusals[o.owner]++
+	case o.err == elsewhere && !isReset:
+		w.absences[o.owner] = true
+	case !isReset:
+		w.refusals[o.owner] = 0
+	}
+	if o.isRelease {
+		w.settleRelease(o, isReset)
+		return
+	}
+	w.granting = false
+	switch {
+	case isReset:
+		w.ledger.RecordReset(w.now, o.owner, o.fence, o.hold)
+	case o.err == refused:
+		w.ledger.CancelSend(o.owner, o.fence)
+	case o.err == elsewhere:
+		w.ledger.CancelSend(o.owner, o.fence)
+		w.ledger.RecordAbsence(o.sentAt, o.owner)
+	default:
+		w.ledger.RecordAnswer(w.now, o.owner, o.fence, o.hold)
+		if o.err == accepted && o.fence == w.fence {
+			w.setPrev(nil)
+		}
+	}
+}
+
+func (w *searchWorld) settleRelease(o *order, isReset bool) {
+	for i, t := range w.transfers {
+		if t != o.transfer {
+			continue
+		}
+		w.releasing[i] = false
+		switch {
+		case isReset || o.err == refused:
+		case o.err == elsewhere:
+			w.ledger.RecordAbsence(o.sentAt, o.owner)
+		default:
+			t.RecordRelease(w.now)
+		}
+	}
+}
+
+func (w *searchWorld) setPrev(prev []keyrange.Previous) {
+	w.prev = prev
+	w.transfers = nil
+	for _, p := range prev {
+		w.transfers = append(w.transfers, grants.NewTransfer(p))
+	}
+	w.free, w.releasing = make([]bool, len(prev)), make([]bool, len(prev))
+}
+
+// assign gives the key to a run that a listing shows, which may be one that has ended.
+func (w *searchWorld) assign() {
+	if len(w.prev) > 3 {
+		return
+	}
+	next := w.known[max(0, len(w.known)-1-w.random.IntN(4))]
+	prev := append(w.prev[:len(w.prev):len(w.prev)], keyrange.Previous{Owner: w.owner, Fence: w.fence})
+	w.fence++
+	w.owner = next
+	w.setPrev(prev)
+	w.ledger.MarkNewFence(w.owner, w.fence)
+	w.logf("assigned to %v, fence %d", w.owner, w.fence)
+}
+
+// coordinate makes the coordinator's next step: it renews, or moves the key.
+func (w *searchWorld) coordinate() {
+	if w.now < w.startsAt {
+		return
+	}
+	isFree := true
+	for i, p := range w.prev {
+		if !w.free[i] {
+			w.advance(i, p)
+		}
+		isFree = isFree && w.free[i]
+	}
+	if !isFree || w.granting {
+		return
+	}
+	hold := 4 * time.Second
+	if w.chance(20) {
+		hold = longHold
+	}
+	w.granting = true
+	w.ledger.BeginSend(w.owner, w.fence)
+	w.send(&order{owner: w.owner, fence: w.fence, hold: hold})
+}
+
+func (w *searchWorld) advance(i int, p keyrange.Previous) {
+	d := w.ledger.Next(w.now, w.transfers[i])
+	switch {
+	case w.unsound != nil && w.unsound(w, p):
+		w.free[i] = true
+		w.logf("%v is taken to have ended", p.Owner)
+	case d.Step == grants.StepFree:
+		w.free[i] = true
+		w.logf("%v fence %d is free: %s", p.Owner, p.Fence, d.Ground)
+	case d.Step == grants.StepRelease && !w.releasing[i]:
+		w.releasing[i] = true
+		w.send(&order{isRelease: true, owner: p.Owner, fence: p.Fence, transfer: w.transfers[i]})
+	}
+}
+
+// replaceCoordinator lets another coordinator follow: after a resignation, a killed
+// process, or a lease that lapsed.
+func (w *searchWorld) replaceCoordinator() {
+	if w.now < w.startsAt {
+		return
+	}
+	floor, isSettled := w.ledger.Floor()
+	w.term++
+	w.granting = false
+	w.startsAt = w.now + w.duration(2*time.Second)
+	switch w.random.IntN(3) {
+	case 0:
+		if !isSettled {
+			end := grants.End(w.now+orderTimeout, longHold)
+			floor = grants.Floor{End: end, UnansweredEnd: end, ArrivedBy: w.now + orderTimeout + grants.Margin}
+		}
+		w.ledger = grants.NewLedgerWithFloor(floor)
+		w.logf("coordinator resigns")
+	case 1:
+		for _, o := range w.orders {
+			if !o.arrived {
+				o.done = true // reset with its process
+			}
+		}
+		w.ledger = grants.NewLedger(w.startsAt, 0, longHold)
+		w.logf("coordinator is killed")
+	default:
+		w.startsAt = w.now + takeoverMargin + w.duration(2*time.Second)
+		w.ledger = grants.NewLedger(w.startsAt, orderTimeout-takeoverMargin, longHold)
+		w.logf("coordinator's lease lapses")
+	}
+	w.setPrev(w.prev)
+	w.refusals, w.absences = make(map[keyrange.Owner]int), make(map[keyrange.Owner]bool)
+}
+
+func (w *searchWorld) deliver() {
+	for _, o := range w.orders {
+		if !o.done && !o.arrived && w.now >= o.arrival {
+			w.arrive(o)
+		}
+		switch {
+		case o.done || !o.arrived && w.now < o.sentAt+orderTimeout:
+		case o.answer > 0 && w.now >= o.answer:
+			w.settle(o, false)
+		case w.now >= o.sentAt+orderTimeout:
+			w.settle(o, true)
+		}
+	}
+	kept := w.orders[:0]
+	for _, o := range w.orders {
+		if !o.done {
+			kept = append(kept, o)
+		}
+	}
+	w.orders = kept
+	w.applyLate()
+}
+
+// holders returns the running targets that hold the key now.
+func (w *searchWorld) holders() (out []keyrange.Owner) {
+	for _, p := range w.processes {
+		if p.until > w.now {
+			out = append(out, p.owner)
+		}
+	}
+	return out
+}
+
+// search plays one sequence of events and returns its trace if two targets held the
+// key at once.
+func search(seed uint64, unsound ground) []string {
+	w := newSearchWorld(seed, unsound)
+	for range searchSteps {
+		switch w.random.IntN(24) {
+		case 0, 1, 2:
+			w.startTarget()
+		case 3:
+			w.endTarget()
+		case 4:
+			w.assign()
+		case 5:
+			if w.chance(40) {
+				w.replaceCoordinator()
+			}
+		}
+		w.coordinate()
+		for until := w.now + w.duration(200*time.Millisecond); w.now < until; w.now += 5 * time.Millisecond {
+			w.deliver()
+			if len(w.holders()) > 1 {
+				w.logf("held by %v", w.holders())
+				return w.trace
+			}
+		}
+		w.ledger.RemoveEnded(w.now)
+	}
+	return nil
+}
+
+// searchSeeds returns the number of sequences that each search plays: some hundreds, or
+// as many as MANGOPOST_CHECKS says.
+func searchSeeds(t *testing.T) uint64 {
+	t.Helper()
+	value := os.Getenv("MANGOPOST_CHECKS")
+	if value == "" {
+		return 400
+	}
+	seeds, err := strconv.ParseUint(value, 10, 64)
+	assert.NilError(t, err, "MANGOPOST_CHECKS")
+	return seeds
+}
+
+// No sequence of restarts under the same name, lost and late orders, refused paths, old
+// listings and changes of the coordinator may lead to two holders.
+func TestSearchFindsNoTwoHolders(t *testing.T) {
+	for seed := range searchSeeds(t) {
+		if trace := search(seed, nil); trace != nil {
+			for _, line := range trace {
+				t.Log(line)
+			}
+			t.Fatalf("two holders, seed %d", seed)
+		}
+	}
+}
+
+// The search is strong enough: each ground that the product once took for the end of a
+// hold leads to two holders.
+func TestSearchFindsUnsoundGrounds(t *testing.T) {
+	for name, unsound := range map[string]ground{
+		"three refused connections (review/1)": func(w *searchWorld, p keyrange.Previous) bool {
+			return w.refusals[p.Owner] >= 3
+		},
+		"entry of a later run (review/2)": func(w *searchWorld, p keyrange.Previous) bool {
+			for _, o := range w.known {
+				if o.Target == p.Target && o.Run > p.Run {
+					return true
+				}
+			}
+			return false
+		},
+		"entry of an earlier run (review/3)": func(w *searchWorld, p keyrange.Previous) bool {
+			for _, o := range w.known {
+				if o.Target == p.Target && o.Run < p.Run {
+					return true
+				}
+			}
+			return false
+		},
+		"another target at the address, at any time": func(w *searchWorld, p keyrange.Previous) bool {
+			return w.absences[p.Owner]
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for seed := range searchSeeds(t) {
+				if search(seed, unsound) != nil {
+					t.Logf("two holders, seed %d", seed)
+					return
+				}
+			}
+			t.Fatal("no sequence with two holders was found")
+		})
+	}
+}
--- a/ownership/grants/transfer.go
+++ b/ownership/grants/transfer.go
@@ -18,6 +18,9 @@
 	// GroundExpired means that every grant that any run of the target at its address
 	// may have taken has ended.
 	GroundExpired Ground = "expired"
+	// GroundReplaced means that another target was found at the address after every
+	// grant had arrived there.
+	GroundReplaced Ground = "replaced"
 )
 
 // Step is what to do next about a previous owner of a range.
@@ -42,6 +45,7 @@
 	UnansweredUntil time.Duration
 	IsSettled       bool          // no grant is in flight
 	ReleasedAt      time.Duration // when the release was answered, 0 if it was not
+	AbsentAt        time.Duration // when another target was last found at the address, 0 if never
 }
 
 // Transfer follows how a range leaves one previous owner. The owner of a Transfer must
@@ -64,13 +68,19 @@
 func (l *Ledger) Next(now time.Duration, t *Transfer) Decision {
 	end, isSettled := l.EndOf(t.prev.Owner, t.prev.Fence)
 	unansweredEnd, _ := l.EndOfUnanswered(t.prev.Owner, t.prev.Fence)
-	d := Decision{Until: end, UnansweredUntil: unansweredEnd, IsSettled: isSettled, ReleasedAt: t.releasedAt}
+	d := Decision{
+		Until: end, UnansweredUntil: unansweredEnd, IsSettled: isSettled,
+		ReleasedAt: t.releasedAt, AbsentAt: l.absentAt[placeOf(t.prev.Owner)],
+	}
 	switch {
 	case !isSettled:
 		// A grant that arrived after the release would undo it.
 		d.Step = StepWait
 	case now >= end:
 		d.Step, d.Ground = StepFree, GroundExpired
+		if d.AbsentAt > 0 && end == 0 {
+			d.Ground = GroundReplaced
+		}
 	case !t.isReleased:
 		d.Step = StepRelease
 	case now >= unansweredEnd:
