--- a/internal/entry/events.go
+++ b/internal/entry/events.go
@@ -36,6 +36,8 @@
 
 	evPaused = kernel.RegisterEvent(6105, hclog.Info, "target asked for a pause")
 
+	evSuspect = kernel.RegisterEvent(6106, hclog.Warn, "target ended while it ran a request")
+
 	evCoordinator    = kernel.RegisterEvent(6200, hclog.Info, "this host is the coordinator")
 	evNoCoordinator  = kernel.RegisterEvent(6201, hclog.Warn, "this host is no longer the coordinator")
 	evMove           = kernel.RegisterEvent(6202, hclog.Info, "key range assigned to a new owner")
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -70,6 +70,10 @@
 	reused bool
 	err    error
 
+	// brokeUnanswered means that the connection ended before the target had sent a byte
+	// of an answer: the target may have ended with the request.
+	brokeUnanswered bool
+
 	isReusable bool // the connection can carry another request
 
 	leaving bool          // the target said that it is leaving
@@ -117,7 +121,7 @@
 	t.reused = conn.reused
 	isAborted := !stop()
 	if isAborted {
-		t.result = pool.Abandoned
+		t.result, t.brokeUnanswered = pool.Abandoned, false
 		t.reply.Failed = true
 	}
 	// Only now can ctx no longer reset the connection under another request.
@@ -148,7 +152,10 @@
 	defer cancel()
 	ans, headers, reusable, err := n.readAnswer(ctx, conn, req, o.id)
 	if err != nil {
-		return attempt{reply: routing.Reply{Sent: true, Failed: true}, result: resultOfError(err), err: err}
+		return attempt{
+			reply: routing.Reply{Sent: true, Failed: true}, result: resultOfError(err), err: err,
+			brokeUnanswered: conn.isUnanswered() && resultOfError(err) == pool.Broken,
+		}
 	}
 	conn.setIdleTimeout(ans.header.Get("Keep-Alive"))
 	reply := routing.Reply{Sent: true, Status: ans.status, IDMatches: true, SaysNotRun: headers.NotRun}
@@ -261,6 +268,10 @@
 	return nil, platform.AnswerHeaders{}, false, errStrayAnswers
 }
 
+// isUnanswered reports whether no byte of an answer was received. Call it while an
+// answer's head is read.
+func (c *targetConn) isUnanswered() bool { return c.limit.left == maxAnswerHeadBytes }
+
 // answers reports whether an answer is that to the request with the given ID. An
 // answer without an ID that refuses the request counts only on a new connection: on
 // another one it may be a second copy of an earlier answer.
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -67,6 +67,10 @@
 	if !c.findRoute() || !c.readBody() {
 		return
 	}
+	if c.isQuarantined() {
+		c.refuse("quarantined", quarantineRetryAfter)
+		return
+	}
 	setHandling(r.Context(), true)
 	defer setHandling(r.Context(), false)
 	c.run()
@@ -100,6 +104,11 @@
 	return true
 }
 
+// isQuarantined reports whether the request must not run because targets ended with it.
+func (c *call) isQuarantined() bool {
+	return !c.node.quarantine.isEmpty() && c.node.quarantine.holds(c.fingerprint())
+}
+
 func stripPort(host string) string {
 	if i := strings.LastIndexByte(host, ':'); i >= 0 {
 		return host[:i]
@@ -223,6 +232,7 @@
 	t := c.node.exchange(sendCtx, c.outbound, a.Target, c.deadline-steadyClock())
 	c.service.finish(a, t.took, t.result, t.pause)
 	c.node.counters.countTry(t.result)
+	c.recordOutcome(a.Target, t)
 	if t.pause > 0 {
 		c.node.counters.countPause()
 		c.node.log.EmitFields(evPaused, append(c.attemptFields(a, t), kernel.Int("pause_ms", ms(t.pause)))...)
@@ -290,6 +300,7 @@
 	}
 	return c.service.mayRetry(steadyClock(), routing.Attempt{
 		Outcome: outcome, Idempotent: c.route.Idempotent, Deadline: c.deadline, Expected: minAttemptTime, Tries: 1,
+		Poisoned: c.isQuarantined(),
 	})
 }
 
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -73,6 +73,10 @@
 	c.set.GetOrCreateCounter(`mangopost_entry_pauses_total`).Inc()
 }
 
+func (c *counters) countQuarantined() {
+	c.set.GetOrCreateCounter(`mangopost_entry_requests_quarantined_total`).Inc()
+}
+
 func (c *counters) countGrant(result string) {
 	c.set.GetOrCreateCounter(fmt.Sprintf(`mangopost_entry_grants_total{result=%q}`, result)).Inc()
 }
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -68,6 +68,7 @@
 	hostCount       atomic.Int64  // hosts that report to the coordinator
 	lastStoreAnswer atomic.Int64  // time of the store's last answer, on steadyClock
 
+	quarantine *quarantine
 	gate       storeGate
 	badObjects badObjects
 
@@ -99,6 +100,7 @@
 		reportNow:   make(chan struct{}, 1),
 
 		answerMemory: newAnswerMemory(s.Memory),
+		quarantine:   newQuarantine(),
 		services:     make(map[string]*service),
 		splitter:     routing.NewSplitter(),
 		owners:       make(map[string]owners),
@@ -172,6 +174,7 @@
 		n.guard("housekeeping", func() {
 			n.conns.closeExpired()
 			n.tickDirectory()
+			n.quarantine.forgetOld()
 			if now := n.isReady(); now != ready {
 				ready = now
 				n.log.Emit(evReady, "ready", ready)
--- a/internal/entry/reportframe.go
+++ b/internal/entry/reportframe.go
@@ -37,6 +37,7 @@
 	for _, f := range n.feeds {
 		out.Feeds = append(out.Feeds, &pb.FeedRevision{Prefix: f.prefix, Revision: f.revision()})
 	}
+	n.quarantine.addToReport(out)
 	return &pb.Frame{Body: &pb.Frame_Report{Report: out}}
 }
 
--- a/internal/entry/reports.go
+++ b/internal/entry/reports.go
@@ -154,6 +154,7 @@
 		n.settleMoves(s.Service, decodeSettled(s))
 	}
 	n.recordLeavingRuns(reply.Leaving)
+	n.quarantine.merge(reply.Suspects, nil)
 }
 
 func (n *Node) slotsFunc() demand.Slots {
@@ -310,8 +311,10 @@
 		}
 	}
 	n.recordLeavingRuns(in.Leaving)
+	n.quarantine.merge(in.Suspects, in.Survived)
 	out.Relays = n.relaysSince(in.Feeds)
 	out.Leaving = encodeRuns(n.recentMarks())
+	out.Suspects = n.quarantine.sharedWith(in.KnownSuspects)
 	return out
 }
 
--- /dev/null
+++ b/internal/entry/targetend.go
@@ -0,0 +1,109 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/mangopost/mangopost/ownership/keyrange"
+	"github.com/mangopost/mangopost/routing"
+)
+
+// endCheckInterval is the least time between two checks whether a target has ended, so
+// that targets that reset connections are not asked again and again.
+const endCheckInterval = time.Second
+
+// endCheck is a check whether a target has ended. hasEnded may be read once done is
+// closed.
+type endCheck struct {
+	began    time.Duration
+	done     chan struct{}
+	hasEnded bool
+}
+
+// fingerprint returns a hash of the content of the caller's request, which is the same
+// when the same caller sends it again.
+func (c *call) fingerprint() routing.Fingerprint {
+	var d xxhash.Digest
+	d.Reset()
+	for _, part := range []string{c.outbound.method, c.outbound.host, c.outbound.uri, c.remoteIP()} {
+		// Writes to a digest do not fail.
+		_, _ = d.WriteString(part)
+		_, _ = d.Write([]byte{0})
+	}
+	_, _ = d.Write(c.outbound.body)
+	return routing.Fingerprint(d.Sum64())
+}
+
+// recordOutcome records whether the target ended with the request or answered it. If
+// the request has been under suspicion before, it waits for the result.
+func (c *call) recordOutcome(owner keyrange.Owner, t attempt) {
+	q := c.node.quarantine
+	switch {
+	case t.brokeUnanswered:
+		fp := c.fingerprint()
+		isSuspect := !q.isEmpty() && q.ends(fp) > 0
+		done := make(chan struct{})
+		go c.node.guard("end of a target", func() {
+			defer close(done)
+			c.node.recordEnd(c.ID, fp, owner)
+		})
+		if isSuspect {
+			<-done // the check ends after dialTimeout
+		}
+	case t.answer != nil && !t.reply.SaysNotRun && !q.isEmpty():
+		q.recordRun(c.fingerprint())
+	}
+}
+
+// ends returns the number of targets that ended with a request.
+func (q *quarantine) ends(fp routing.Fingerprint) int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.table.Crashes(fp)
+}
+
+// recordEnd counts the request with the given ID, whose connection broke without an answer, if its target
+// has ended. A target that is known to be leaving ends by plan.
+func (n *Node) recordEnd(id string, fp routing.Fingerprint, owner keyrange.Owner) {
+	n.mu.Lock()
+	e, ok := n.directory.Get(owner.Target)
+	n.mu.Unlock()
+	if ok && e.Run == owner.Run && e.Leaving || !n.hasEnded(owner) {
+		return
+	}
+	ends := n.quarantine.recordEnd(fp, owner)
+	n.log.Emit(evSuspect, "request", id, "fingerprint", fp.String(), "target", owner.Target, "run", owner.Run, "ends", ends,
+		"quarantined", ends >= suspects.CrashThreshold)
+	if ends >= suspects.CrashThreshold {
+		n.counters.countQuarantined()
+	}
+	select {
+	case n.reportNow <- struct{}{}:
+	default: // a report is due already
+	}
+}
+
+// hasEnded reports whether nothing listens at a target's address. Requests whose
+// connections broke together share one check.
+func (n *Node) hasEnded(owner keyrange.Owner) bool {
+	q := n.quarantine
+	q.mu.Lock()
+	check := q.endChecks[owner]
+	if check != nil && steadyClock() < check.began+endCheckInterval {
+		q.mu.Unlock()
+		<-check.done
+		return check.hasEnded
+	}
+	check = &endCheck{began: steadyClock(), done: make(chan struct{})}
+	q.endChecks[owner] = check
+	q.mu.Unlock()
+	defer close(check.done)
+	conn, err := n.conns.dial.DialContext(context.Background(), "tcp", owner.Addr)
+	if err == nil {
+		_ = conn.Close() // nothing was sent
+	}
+	check.hasEnded = isConnRefused(err)
+	return check.hasEnded
+}
--- a/routing/poison.go
+++ b/routing/poison.go
@@ -142,6 +142,26 @@
 	return len(s.Crashes) >= p.cfg.CrashThreshold
 }
 
+// Crashes returns the number of crashes recorded for a fingerprint.
+func (p *Poison) Crashes(fp Fingerprint) int {
+	if element := p.entries[fp]; element != nil {
+		return len(element.Value.(*Suspect).Crashes)
+	}
+	return 0
+}
+
+// RemoveOld removes the records that are older than their retention.
+func (p *Poison) RemoveOld(now time.Time) {
+	for e := p.byLastChange.Front(); e != nil; {
+		s := e.Value.(*Suspect)
+		e = e.Next()
+		if s.olderThan(now, p.cfg.Retention) {
+			fp, _ := ParseFingerprint(s.Fingerprint) // the table has valid ones only
+			p.remove(fp)
+		}
+	}
+}
+
 // ProbeDue reports whether a quarantined request may be run once more, by the
 // host that claims the probe in the store: an innocent request may have run on
 // two targets that were lost. A request that crashes a third target is not
