--- a/ownership/grants/ledger.go
+++ b/ownership/grants/ledger.go
@@ -10,7 +10,6 @@
 
 import (
 	"maps"
-	"slices"
 	"time"
 
 	"github.com/mangopost/mangopost/ownership/keyrange"
@@ -45,12 +44,12 @@
 func placeOf(o keyrange.Owner) place { return place{o.Target, o.Addr} }
 
 type entry struct {
-	end           time.Duration // latest end of all grants
-	unansweredEnd time.Duration // latest end of the grants that were not answered
-	arrivedBy     time.Duration // latest time at which a settled grant can have arrived
-	inFlight      int           // grants without an answer or a reset so far
-	inheritedFrom []grantKey    // earlier fences under which the owner held the keys
-	isNewFence    bool          // no earlier coordinator granted keys under this fence
+	end           time.Duration         // latest end of all grants
+	unansweredEnd time.Duration         // latest end of the grants that were not answered
+	arrivedBy     time.Duration         // latest time at which a settled grant can have arrived
+	inFlight      int                   // grants without an answer or a reset so far
+	inheritedFrom map[grantKey]struct{} // all earlier fences under which the owner held the keys
+	isNewFence    bool                  // no earlier coordinator granted keys under this fence
 }
 
 // Ledger records when the grants that a coordinator sent end. The zero value is
@@ -185,29 +184,43 @@
 	if e == nil {
 		return 0, 0, true
 	}
-	ok = e.inFlight == 0
-	if !ok || !l.isAbsent(k.owner, e.arrivedBy) {
-		end, unansweredEnd = e.end, e.unansweredEnd
-	}
-	for _, earlier := range e.inheritedFrom {
-		earlierEnd, earlierUnansweredEnd, earlierOK := l.latestEnds(earlier)
-		end, unansweredEnd, ok = max(end, earlierEnd), max(unansweredEnd, earlierUnansweredEnd), ok && earlierOK
+	end, unansweredEnd, ok = l.ownEnds(k.owner, e)
+	for earlier := range e.inheritedFrom {
+		if from := l.entries[earlier]; from != nil {
+			earlierEnd, earlierUnansweredEnd, earlierOK := l.ownEnds(k.owner, from)
+			end, unansweredEnd, ok = max(end, earlierEnd), max(unansweredEnd, earlierUnansweredEnd), ok && earlierOK
+		}
 	}
 	return end, unansweredEnd, ok
 }
 
+// ownEnds returns the latest ends of the grants under one fence alone.
+func (l *Ledger) ownEnds(owner keyrange.Owner, e *entry) (end, unansweredEnd time.Duration, ok bool) {
+	if e.inFlight == 0 && l.isAbsent(owner, e.arrivedBy) {
+		return 0, 0, true
+	}
+	return e.end, e.unansweredEnd, e.inFlight == 0
+}
+
 // Inherit records that keys under an earlier fence of the owner now belong to a
 // later one. The grants under the earlier fence then count for the later one
 // too, including those in flight.
 func (l *Ledger) Inherit(owner keyrange.Owner, before, after uint64) {
 	e := l.entry(owner, after)
-	e.inheritedFrom = append(e.inheritedFrom, grantKey{owner, before})
+	if e.inheritedFrom == nil {
+		e.inheritedFrom = make(map[grantKey]struct{})
+	}
+	from := grantKey{owner, before}
+	e.inheritedFrom[from] = struct{}{}
+	if earlier := l.entries[from]; earlier != nil {
+		maps.Copy(e.inheritedFrom, earlier.inheritedFrom)
+	}
 }
 
 // RemoveEnded removes entries whose grants all ended before now.
 func (l *Ledger) RemoveEnded(now time.Duration) {
 	for k, e := range l.entries {
-		e.inheritedFrom = slices.DeleteFunc(e.inheritedFrom, func(earlier grantKey) bool { return l.entries[earlier] == nil })
+		maps.DeleteFunc(e.inheritedFrom, func(earlier grantKey, _ struct{}) bool { return l.entries[earlier] == nil })
 		if e.inFlight == 0 && e.end < now && len(e.inheritedFrom) == 0 && (!e.isNewFence || l.floor.End < now) {
 			delete(l.entries, k)
 		}
--- a/ownership/grants/ledger_test.go
+++ b/ownership/grants/ledger_test.go
@@ -147,3 +147,28 @@
 	unansweredEnd, _ = l.EndOfUnanswered(ownerA, 9)
 	assert.Equal(t, unansweredEnd, time.Duration(0))
 }
+
+// Guards against a coordinator that no longer hands back the processor: the parts of a
+// range that was split are merged again, so that each fence is inherited twice from the
+// same one, over and over.
+func TestInheritedGrantsAreCountedOnce(t *testing.T) {
+	l := grants.NewLedger(-time.Hour, timeout, maxHold)
+	l.BeginSend(ownerA, 1)
+	l.RecordReset(time.Second, ownerA, 1, hold)
+	const generations = 64
+	for fence := uint64(1); fence < generations; fence++ {
+		l.Inherit(ownerA, fence, fence+1)
+		l.Inherit(ownerA, fence, fence+1)
+	}
+	ended := make(chan time.Duration, 1)
+	go func() {
+		end, _ := l.EndOfUnanswered(ownerA, generations)
+		ended <- end
+	}()
+	select {
+	case end := <-ended:
+		assert.Equal(t, end, grants.End(time.Second, hold))
+	case <-time.After(10 * time.Second):
+		t.Fatal("the end of a range that was merged 63 times takes more than 10 s to find")
+	}
+}
