--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -64,7 +64,7 @@
 	if n.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	if !c.findRoute() || !c.readBody() {
+	if !c.findRoute() || !c.applyStop() || !c.readBody() {
 		return
 	}
 	if c.isQuarantined() {
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -61,6 +61,7 @@
 	lastRequestNumber atomic.Uint64
 	inFlight          atomic.Int64
 	stopping          atomic.Bool
+	stopPhases        atomic.Pointer[stopPhases] // nil before the stop
 
 	mayUseHint      atomic.Bool   // the store may still tell this host its aggregator
 	reportNow       chan struct{} // requests a report before the next one is due
--- a/internal/entry/servers.go
+++ b/internal/entry/servers.go
@@ -29,6 +29,12 @@
 	// drainLinger is how long new connections are still accepted after the stop
 	// signal: the balancer needs two readiness checks, a second apart, to notice.
 	drainLinger = 3 * time.Second
+	// flushTime is how long the last answers may take to be written once their requests
+	// have been handled.
+	flushTime = 100 * time.Millisecond
+	// inFlightPollInterval is how often a stopping host checks whether requests are
+	// still being handled.
+	inFlightPollInterval = 20 * time.Millisecond
 )
 
 // listen opens a TCP listener on an address that connections of a previous process
@@ -65,21 +71,66 @@
 		return errors.Wrap(err, "serve callers")
 	case <-ctx.Done():
 	}
-	n.stopping.Store(true)
-	n.log.Emit(evStopping, "in_flight", n.inFlight.Load(), "stop_ms", ms(s.Bounds.Stop))
+	n.beginStop(s.Bounds.Stop)
 	time.Sleep(drainLinger)
 	drain := time.AfterFunc(s.Bounds.Stop-drainLinger-drainReserve, n.drainServices)
 	defer drain.Stop()
-	shutdownCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), s.Bounds.Stop-drainLinger-drainReserve/2)
-	defer cancel()
-	if err := server.Shutdown(shutdownCtx); err != nil {
-		n.log.Emit(evStopping, "in_flight", n.inFlight.Load(), "error", err.Error())
+	_ = accepting.Close()              // ends Serve
+	server.SetKeepAlivesEnabled(false) // closes the idle connections
+	if !n.awaitAnswers(s.Bounds.Stop - drainLinger - drainReserve/2) {
+		n.log.Emit(evStopping, "in_flight", n.inFlight.Load(), "error", "requests are cut off: the time to stop has passed")
 		return nil // the rest of the time is needed to exit
 	}
+	// From Shutdown on, net/http drops requests that it reads, so it comes last.
+	flushCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), flushTime)
+	defer cancel()
+	if err := server.Shutdown(flushCtx); err != nil {
+		_ = server.Close() // connections without a request are left
+	}
 	listener.awaitLingering()
 	return nil
 }
 
+// awaitAnswers waits up to limit until no request is being handled.
+func (n *Node) awaitAnswers(limit time.Duration) bool {
+	for until := steadyClock() + limit; n.inFlight.Load() > 0; time.Sleep(inFlightPollInterval) {
+		if steadyClock() >= until {
+			return false
+		}
+	}
+	return true
+}
+
+// stopPhases says how requests are handled during a planned stop. Times are readings of
+// steadyClock.
+type stopPhases struct {
+	refuseFrom time.Duration // requests that arrive later are refused: the balancer sends no more
+	answerBy   time.Duration // the others end with an answer by then, before the process exits
+}
+
+// beginStop begins a planned stop of the given length.
+func (n *Node) beginStop(length time.Duration) {
+	now := steadyClock()
+	n.stopPhases.Store(&stopPhases{refuseFrom: now + drainLinger, answerBy: now + length - drainReserve/2 - 2*answerGrace})
+	n.stopping.Store(true)
+	n.log.Emit(evStopping, "in_flight", n.inFlight.Load(), "stop_ms", ms(length))
+}
+
+// applyStop limits the request to what a planned stop leaves time for. If it reports
+// false, the caller has been answered.
+func (c *call) applyStop() bool {
+	phases := c.node.stopPhases.Load()
+	if phases == nil {
+		return true
+	}
+	if c.arrived >= phases.refuseFrom {
+		c.refuse("stopping", shedRetryAfter)
+		return false
+	}
+	c.deadline = min(c.deadline, phases.answerBy)
+	return true
+}
+
 // drainServices refuses every request that waits for a target.
 func (n *Node) drainServices() {
 	for _, s := range n.allServices() {
--- a/internal/entry/stop_test.go
+++ b/internal/entry/stop_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"net"
@@ -81,6 +82,64 @@
 	assert.Equal(t, n.inFlight.Load(), int64(0))
 }
 
+// Guards against requests that are cut at the end of a planned stop: a caller connected
+// before the stop and sends its request late in it.
+func TestLateRequestInPlannedStopIsRefused(t *testing.T) {
+	const stopTime = 5500 * time.Millisecond
+	target := startScriptedTarget(t, func(conn net.Conn, r *http.Request, _ int) bool {
+		time.Sleep(1200 * time.Millisecond)
+		writeAnswer(conn, 200, r.Header.Get(standin.HeaderID), "done", "")
+		return true
+	})
+	n, _ := newServingNode(t, target)
+	ports, err := standin.FreePorts(1)
+	assert.NilError(t, err)
+	settings := *n.settings.Load()
+	settings.Callers = addrPortOf(ports[0])
+	settings.Bounds.Stop = stopTime
+	n.settings.Store(&settings)
+	ctx, stop := context.WithCancel(t.Context())
+	served := make(chan error, 1)
+	go func() { served <- n.serveCallers(ctx) }()
+	awaitListener(t, ports[0])
+	url := fmt.Sprintf("http://127.0.0.1:%d", ports[0])
+	late, soon := dialCaller(t, url), dialCaller(t, url)
+	time.Sleep(50 * time.Millisecond) // both are accepted
+	stop()
+
+	time.Sleep(drainLinger - 100*time.Millisecond)
+	writeRequest(t, soon, "soon")
+	time.Sleep(600 * time.Millisecond)
+	writeRequest(t, late, "late")
+	resp, err := http.ReadResponse(bufio.NewReader(late), nil)
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode, http.StatusServiceUnavailable)
+	assert.Assert(t, resp.Close)
+	resp, err = http.ReadResponse(bufio.NewReader(soon), nil)
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode, http.StatusOK, "the balancer may still send callers here")
+	assert.NilError(t, <-served)
+	assert.Equal(t, n.inFlight.Load(), int64(0), "requests are cut when the process exits")
+	assert.DeepEqual(t, target.received(), []string{"soon"})
+}
+
+// A request that is taken during a planned stop ends with an answer before the process
+// exits, also if its target is too slow.
+func TestRequestInPlannedStopEndsBeforeExit(t *testing.T) {
+	target := startScriptedTarget(t, func(conn net.Conn, _ *http.Request, _ int) bool {
+		time.Sleep(3 * time.Second)
+		return false
+	})
+	n, url := newServingNode(t, target)
+	n.stopping.Store(true)
+	n.stopPhases.Store(&stopPhases{refuseFrom: steadyClock() + time.Second, answerBy: steadyClock() + 500*time.Millisecond})
+	began := time.Now()
+	status, _, _, err := ask(t, url, unsafePath, "id", strings.NewReader("x"))
+	assert.NilError(t, err)
+	assert.Equal(t, status, http.StatusGatewayTimeout)
+	assert.Assert(t, time.Since(began) < 1400*time.Millisecond)
+}
+
 func awaitListener(t *testing.T, port int) {
 	t.Helper()
 	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); {
