--- a/internal/entry/answers_test.go
+++ b/internal/entry/answers_test.go
@@ -268,3 +268,39 @@
 	}
 	assert.Equal(t, len(target.received()), 1)
 }
+
+// Guards against a refusal of a request that has run: a target writes an earlier refusal
+// once more, when the request is sent to it again after another one on the connection.
+func TestCopyOfRefusalBehindOtherAnswerIsNotTaken(t *testing.T) {
+	refused := make(chan struct{})
+	var mu sync.Mutex
+	sends := make(map[string]int)
+	target := startScriptedTarget(t, func(conn net.Conn, r *http.Request, number int) bool {
+		id := r.Header.Get(standin.HeaderID)
+		mu.Lock()
+		sends[id]++
+		first := sends[id] == 1
+		mu.Unlock()
+		if id == "id-a" && first {
+			writeAnswer(conn, 421, id, "", "")
+			close(refused)
+			return true
+		}
+		if id == "id-a" && number > 0 {
+			writeAnswer(conn, 421, id, "", "") // the second copy
+		}
+		writeAnswer(conn, 200, id, "ran "+id, "")
+		return true
+	})
+	_, url := newServingNode(t, target)
+	go func() {
+		<-refused
+		status, body, _, err := ask(t, url, unsafePath, "id-b", strings.NewReader("x"))
+		assert.Check(t, err)
+		assert.Check(t, fmt.Sprint(status, body) == "200ran id-b")
+	}()
+	status, body, _, err := ask(t, url, unsafePath, "id-a", strings.NewReader("x"))
+	assert.NilError(t, err)
+	assert.Equal(t, fmt.Sprint(status, body), "200ran id-a")
+	assert.Equal(t, strings.Join(target.received(), " "), "id-a id-b id-a")
+}
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -95,7 +95,8 @@
 	header http.Header // without hop-by-hop headers
 	body   []byte
 	id     string
-	unsafe bool // not idempotent: must not run twice
+	unsafe bool          // not idempotent: must not run twice
+	sentOn []*targetConn // connections on which it was sent
 }
 
 // exchange sends a request to a target and returns the outcome, at the latest
@@ -110,7 +111,7 @@
 		maxIdle = 0 // a late answer to another request could not be told from this one's
 	}
 	dialCtx, cancel := context.WithTimeout(ctx, remaining)
-	conn, err := n.conns.get(dialCtx, owner.Addr, maxIdle, o.id)
+	conn, err := n.conns.get(dialCtx, owner.Addr, maxIdle, o)
 	cancel()
 	if err != nil {
 		return attempt{result: pool.Unreachable, took: steadyClock() - began, err: err}
@@ -144,6 +145,7 @@
 	}
 	written := make(chan error, 1)
 	conn.lastID = o.id
+	o.sentOn = append(o.sentOn, conn)
 	sent, err := o.write(conn, req, written)
 	if err != nil {
 		return attempt{reply: routing.Reply{Sent: sent, Failed: true}, result: pool.Broken, err: err}
--- a/internal/entry/targetconn.go
+++ b/internal/entry/targetconn.go
@@ -6,6 +6,7 @@
 	"io"
 	"math"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -71,12 +72,13 @@
 }
 
 // get returns a connection: an idle one that was used within maxIdle and is
-// still open, or a new one. A connection whose last request had the same ID is not
-// used: a second copy of its answer could not be told from the answer to this one.
-func (p *connPool) get(ctx context.Context, addr string, maxIdle time.Duration, id string) (*targetConn, error) {
+// still open, or a new one. A connection on which the request was sent before, or whose
+// last request had the same ID, is not used: a second copy of that answer could not be
+// told from the answer to this one.
+func (p *connPool) get(ctx context.Context, addr string, maxIdle time.Duration, o *outboundRequest) (*targetConn, error) {
 	now := steadyClock()
 	for c := p.pop(addr); c != nil; c = p.pop(addr) {
-		if now-c.idleSince < min(c.idleTimeout, maxIdle) && c.lastID != id && c.isCleanIdle() {
+		if now-c.idleSince < min(c.idleTimeout, maxIdle) && c.lastID != o.id && !slices.Contains(o.sentOn, c) && c.isCleanIdle() {
 			c.reused = true
 			c.reader = newReader(c.limit)
 			return c, nil
