--- a/internal/entry/answers_test.go
+++ b/internal/entry/answers_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"bufio"
 	"bytes"
 	"fmt"
 	"io"
@@ -15,6 +16,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/mangopost/mangopost/platform/standin"
+	"github.com/mangopost/mangopost/routing"
 
 	"github.com/mangopost/mangopost/membership/directory"
 )
@@ -304,3 +306,29 @@
 	assert.Equal(t, fmt.Sprint(status, body), "200ran id-a")
 	assert.Equal(t, strings.Join(target.received(), " "), "id-a id-b id-a")
 }
+
+// Guards against a request that runs with another path or host: a path that begins with
+// two slashes was sent on as an absolute URL.
+func TestPathIsSentOnUnchanged(t *testing.T) {
+	type line struct{ uri, host string }
+	seen := make(chan line, 1)
+	target := startScriptedTarget(t, func(conn net.Conn, r *http.Request, _ int) bool {
+		seen <- line{r.RequestURI, r.Host}
+		writeAnswer(conn, 200, r.Header.Get(standin.HeaderID), "ok", "")
+		return true
+	})
+	n, url := newServingNode(t, target)
+	n.configure(routing.NewTable(2, []routing.Route{{
+		Name: "all", Host: "host.example", Prefix: "/", MaxAttempts: 1, Timeout: time.Second, LatencyGoal: time.Second,
+		Parts: []routing.Part{{Service: "s", Weight: 1}},
+	}}, []routing.Service{{Name: "s"}}, routing.CallerLimits{}))
+	for i, path := range []string{"//packs/17/refund", "///x", "//", "/a//b?q=//c", "/%2f%2Fx", "/x?", "/a%20b?c=d%20e&&"} {
+		conn := dialCaller(t, url)
+		_, err := fmt.Fprintf(conn, "PUT %s HTTP/1.1\r\nHost: host.example\r\n%s: p%d\r\nContent-Length: 1\r\n\r\nx", path, standin.HeaderID, i)
+		assert.NilError(t, err)
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		assert.NilError(t, err)
+		assert.Equal(t, resp.StatusCode, http.StatusOK)
+		assert.Equal(t, <-seen, line{path, "host.example"})
+	}
+}
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"strings"
 	"syscall"
 	"time"
 
@@ -206,7 +207,7 @@
 		header.Set("User-Agent", "") // stops net/http from adding its own
 	}
 	req := &http.Request{
-		Method: o.method, URL: &url.URL{Scheme: "http", Host: o.host, Opaque: o.uri}, Host: o.host,
+		Method: o.method, URL: &url.URL{Scheme: "http", Host: o.host, Opaque: o.placeholderURI()}, Host: o.host,
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Header: header,
 	}
 	if len(o.body) > 0 {
@@ -218,13 +219,30 @@
 	return req
 }
 
+// placeholderURI returns a text as long as the caller's path and query, to be replaced
+// once the request is encoded: net/http would take a path that begins with two slashes
+// for a host.
+func (o *outboundRequest) placeholderURI() string {
+	return "/" + strings.Repeat("x", max(0, len(o.uri)-1))
+}
+
+// encode encodes a request of buildRequest with the caller's own path and query.
+func (o *outboundRequest) encode(req *http.Request) (*bytes.Buffer, error) {
+	var buf bytes.Buffer
+	if err := req.Write(&buf); err != nil {
+		return nil, errors.Wrap(err, "encode request")
+	}
+	copy(buf.Bytes()[len(o.method+" "):], o.uri)
+	return &buf, nil
+}
+
 // write sends the request. A request over asyncBodyBytes is sent in the
 // background, and its result is delivered to written. sent reports whether any
 // byte may have been sent.
 func (o *outboundRequest) write(conn *targetConn, req *http.Request, written chan<- error) (sent bool, err error) {
-	var buf bytes.Buffer
-	if err := req.Write(&buf); err != nil {
-		return false, errors.Wrap(err, "encode request")
+	buf, err := o.encode(req)
+	if err != nil {
+		return false, err
 	}
 	if buf.Len() > asyncBodyBytes {
 		go func() {
