--- a/internal/entry/stop_test.go
+++ b/internal/entry/stop_test.go
@@ -26,18 +26,7 @@
 		writeAnswer(conn, 200, r.Header.Get(standin.HeaderID), "done", "")
 		return true
 	})
-	n, _ := newServingNode(t, target)
-	ports, err := standin.FreePorts(1)
-	assert.NilError(t, err)
-	settings := *n.settings.Load()
-	settings.Callers = addrPortOf(ports[0])
-	settings.Bounds.Stop = 6 * time.Second
-	n.settings.Store(&settings)
-	ctx, stop := context.WithCancel(t.Context())
-	served := make(chan error, 1)
-	go func() { served <- n.serveCallers(ctx) }()
-	url := fmt.Sprintf("http://127.0.0.1:%d", ports[0])
-	awaitListener(t, ports[0])
+	n, url, stop, served := serveUntilStopped(t, 6*time.Second, target)
 
 	var sent, answered, cut atomic.Int64
 	var wg sync.WaitGroup
@@ -91,18 +80,7 @@
 		writeAnswer(conn, 200, r.Header.Get(standin.HeaderID), "done", "")
 		return true
 	})
-	n, _ := newServingNode(t, target)
-	ports, err := standin.FreePorts(1)
-	assert.NilError(t, err)
-	settings := *n.settings.Load()
-	settings.Callers = addrPortOf(ports[0])
-	settings.Bounds.Stop = stopTime
-	n.settings.Store(&settings)
-	ctx, stop := context.WithCancel(t.Context())
-	served := make(chan error, 1)
-	go func() { served <- n.serveCallers(ctx) }()
-	awaitListener(t, ports[0])
-	url := fmt.Sprintf("http://127.0.0.1:%d", ports[0])
+	n, url, stop, served := serveUntilStopped(t, stopTime, target)
 	late, soon := dialCaller(t, url), dialCaller(t, url)
 	time.Sleep(50 * time.Millisecond) // both are accepted
 	stop()
@@ -140,6 +118,24 @@
 	assert.Assert(t, time.Since(began) < 1400*time.Millisecond)
 }
 
+// serveUntilStopped starts a node that takes callers' requests at a URL until stop is
+// called; a planned stop then takes the given time. served returns its result.
+func serveUntilStopped(t *testing.T, stopTime time.Duration, target *scriptedTarget) (n *Node, url string, stop func(), served <-chan error) {
+	t.Helper()
+	n, _ = newServingNode(t, target)
+	ports, err := standin.FreePorts(1)
+	assert.NilError(t, err)
+	settings := *n.settings.Load()
+	settings.Callers = addrPortOf(ports[0])
+	settings.Bounds.Stop = stopTime
+	n.settings.Store(&settings)
+	ctx, stop := context.WithCancel(t.Context())
+	result := make(chan error, 1)
+	go func() { result <- n.serveCallers(ctx) }()
+	awaitListener(t, ports[0])
+	return n, fmt.Sprintf("http://127.0.0.1:%d", ports[0]), stop, result
+}
+
 func awaitListener(t *testing.T, port int) {
 	t.Helper()
 	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); {
