--- a/internal/entry/quarantine_test.go
+++ b/internal/entry/quarantine_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"github.com/mangopost/mangopost/internal/wire/pb"
 	"github.com/mangopost/mangopost/membership/directory"
@@ -42,9 +43,21 @@
 	return targets
 }
 
-// poisonArrivals sends the same request again and again and returns the number that
-// reached targets, and the number that were refused as not run.
-func poisonArrivals(t *testing.T, url, path string, targets []*scriptedTarget) (arrived, refused int) {
+// arrivals returns the number of requests for "poison" that reached targets.
+func arrivals(targets []*scriptedTarget) (count int) {
+	for _, target := range targets {
+		for _, id := range target.received() {
+			if strings.HasPrefix(id, "p-") {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+// sendPoison sends the same request again and again, calls after each one, and returns
+// the number of refusals as not run.
+func sendPoison(t *testing.T, url, path string, after func()) (refused int) {
 	t.Helper()
 	for i := range 8 {
 		status, _, header, err := ask(t, url, path+"poison", fmt.Sprintf("p-%d", i), strings.NewReader("the same"))
@@ -53,16 +66,19 @@
 			refused++
 			assert.Assert(t, header.Get("Retry-After") != "")
 		}
-		time.Sleep(50 * time.Millisecond) // the end of the target is noticed
+		after()
 	}
-	for _, target := range targets {
-		for _, id := range target.received() {
-			if strings.HasPrefix(id, "p-") {
-				arrived++
-			}
-		}
+	return refused
+}
+
+// ends returns the number of ends that the node knows of.
+func (n *Node) ends() (count int) {
+	n.quarantine.mu.Lock()
+	defer n.quarantine.mu.Unlock()
+	for _, s := range n.quarantine.table.Export() {
+		count += len(s.Crashes)
 	}
-	return arrived, refused
+	return count
 }
 
 func crash(s *scriptedTarget, conn net.Conn) {
@@ -78,7 +94,15 @@
 			targets := endingTargets(t, 8, crash)
 			n, url := newServingNode(t, targets...)
 			out := logTo(t, n)
-			arrived, refused := poisonArrivals(t, url, path, targets)
+			refused := sendPoison(t, url, path, func() {
+				poll.WaitOn(t, func(poll.LogT) poll.Result {
+					if n.ends() < arrivals(targets) {
+						return poll.Continue("%d of %d ends are known", n.ends(), arrivals(targets))
+					}
+					return poll.Success()
+				}, poll.WithDelay(2*time.Millisecond))
+			})
+			arrived := arrivals(targets)
 			assert.Assert(t, arrived >= suspects.CrashThreshold && arrived <= atMost, "%d arrived", arrived)
 			assert.Assert(t, refused >= 8-arrived, "%d of 8 refused", refused)
 			for i := range 5 {
@@ -98,10 +122,11 @@
 func TestBrokenConnectionsDoNotQuarantine(t *testing.T) {
 	t.Run("reset", func(t *testing.T) {
 		targets := endingTargets(t, 8, func(_ *scriptedTarget, conn net.Conn) { _ = conn.(*net.TCPConn).SetLinger(0) })
-		_, url := newServingNode(t, targets...)
-		arrived, refused := poisonArrivals(t, url, unsafePath, targets)
-		assert.Equal(t, arrived, 8)
+		n, url := newServingNode(t, targets...)
+		refused := sendPoison(t, url, unsafePath, func() { time.Sleep(50 * time.Millisecond) })
+		assert.Equal(t, arrivals(targets), 8)
 		assert.Equal(t, refused, 0)
+		assert.Equal(t, n.ends(), 0)
 	})
 	t.Run("leaving", func(t *testing.T) {
 		n, _ := newServingNode(t)
