--- a/routing/table.go
+++ b/routing/table.go
@@ -26,6 +26,7 @@
 	LatencyGoal time.Duration // answers within it have their full value
 	Priority    int           // 0 is the most urgent
 	MaxAttempts int           // maximum number of targets that one request is sent to
+	Regions     []string      // regions whose targets may run the requests; empty: all
 	Parts       []Part        // at least one
 }
 
@@ -41,6 +42,9 @@
 	HealthCheck    string // path
 	MaxConnections int    // to one target, from all hosts together
 	Keyed          bool   // each key has one owner
+
+	ColdDuration time.Duration // how long a target is cold after it starts while there are requests; 0 if not given
+	ColdRate     float64       // requests per second that a cold target can take; 0: no limit
 }
 
 // CallerLimits limits what a caller may send.
