An answer with an invalid status counts as no answer

Both now take such a head for no answer: the outcome is not known (502), and no other request uses the connection. Statuses from 102 to 199 are interim answers as before; those from 600 to 999 have three digits and are passed on unchanged.

--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -45,6 +45,10 @@
 // only.
 var errStrayAnswers = errors.New("target sent only answers to other requests")
 
+// errInvalidHead reports bytes that are no answer: what follows on the connection cannot
+// be attributed to a request.
+var errInvalidHead = errors.New("status line is invalid")
+
 // answer is a target's complete answer.
 type answer struct {
 	status int
@@ -267,6 +271,9 @@
 			return nil, platform.AnswerHeaders{}, false, errors.Wrap(err, "read answer")
 		}
 		conn.limit.left = math.MaxInt64
+		if !isValidHead(resp) {
+			return nil, platform.AnswerHeaders{}, false, errors.Wrapf(errInvalidHead, "%s %.20s", resp.Proto, resp.Status)
+		}
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
@@ -288,6 +295,13 @@
 	return nil, platform.AnswerHeaders{}, false, errStrayAnswers
 }
 
+// isValidHead reports whether a status line is that of an HTTP/1 answer. net/http also
+// accepts statuses below 100 and other versions. A switch of protocols is no answer
+// either, as no request asks for one.
+func isValidHead(resp *http.Response) bool {
+	return resp.ProtoMajor == 1 && resp.StatusCode >= http.StatusContinue && resp.StatusCode != http.StatusSwitchingProtocols
+}
+
 // isUnanswered reports whether no byte of an answer was received. Call it while an
 // answer's head is read.
 func (c *targetConn) isUnanswered() bool { return c.limit.left == maxAnswerHeadBytes }
--- a/internal/router/events.go
+++ b/internal/router/events.go
@@ -19,6 +19,7 @@
 	evRefusedAtGateway = kernel.RegisterEvent(1013, hclog.Info, "request refused at gateway")
 	evTargetRefused    = kernel.RegisterEvent(1014, hclog.Info, "target refused a request")
 	evAnswerMismatch   = kernel.RegisterEvent(1015, hclog.Warn, "target answered for another request")
+	evAnswerInvalid    = kernel.RegisterEvent(1060, hclog.Warn, "target sent an invalid status line")
 	evQuarantined      = kernel.RegisterEvent(1016, hclog.Warn, "request is quarantined")
 	evCrashCounted     = kernel.RegisterEvent(1017, hclog.Warn, "target crashed while running a request")
 	evPreempted        = kernel.RegisterEvent(1018, hclog.Info, "straggler preempted for short work")
--- a/internal/router/targetanswer.go
+++ b/internal/router/targetanswer.go
@@ -26,10 +26,23 @@
 	})
 }
 
+// isValidHead reports whether a status line is that of an HTTP/1 answer. net/http also
+// accepts statuses below 100 and other versions. A switch of protocols is no answer
+// either, as no request asks for one.
+func isValidHead(response *http.Response) bool {
+	return response.ProtoMajor == 1 && response.StatusCode >= http.StatusOK
+}
+
 // handleResponse returns the answer for a target's response. An answer that is too long
 // to be buffered is streamed to out, either complete or visibly truncated.
 func (w *worker) handleResponse(ctx context.Context, req *admitted, t *ticket, response *http.Response, out sink) (*pb.Answer, admission.Result) {
 	f := req.forward
+	if !isValidHead(response) {
+		// The connection may be idle already and hold bytes that belong to no request.
+		w.transport.Load().CloseIdleConnections()
+		w.router.log.Emit(evAnswerInvalid, "request", f.Id, "target", w.name, "protocol", response.Proto, "status", response.StatusCode)
+		return unknown(f.Id, reasonAnswerBroken), admission.Result{Kind: admission.Failed}
+	}
 	switch outcomeOf(response, f.Id, w.template.Load().RefusesFirst) {
 	case routing.OutcomeNotRun:
 		return w.refusedByTarget(f, response)
