TestRequestThatEndsTargetsIsQuarantined waits for the log line

The test read the log once, right after the answers, but the log is written in the background. It now waits for the same line, and fails after the usual limit of polls if there is none.

--- a/internal/entry/quarantine_test.go
+++ b/internal/entry/quarantine_test.go
@@ -112,7 +112,12 @@
 				}
 				assert.Assert(t, i < 4, "a request with another body is refused")
 			}
-			assert.Assert(t, out.lineWith("MP6106") != "")
+			poll.WaitOn(t, func(poll.LogT) poll.Result { // the log is written in the background
+				if out.lineWith("MP6106") == "" {
+					return poll.Continue("not logged")
+				}
+				return poll.Success()
+			}, poll.WithDelay(2*time.Millisecond))
 		})
 	}
 }
