A gap of relays is not taken for an outage of the store

After a change of coordinator and aggregator the hosts of a data centre hear nothing for about two seconds. A host that was frozen did the same.

Two tests of outages record the failure that an outage has; TestTimeWithoutRelaysIsNoOutage is new.

--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -165,6 +165,7 @@
 			f.node.log.Emit(evStoreLost, "kind", f.prefix, "error", err.Error())
 		}
 		f.storeLost = true
+		f.node.recordStoreFailure()
 		f.node.gate.failed(steadyClock(), probe)
 	case probe:
 		f.node.gate.answered()
@@ -404,6 +405,14 @@
 	return out
 }
 
+// recordStoreFailure records that the store did not answer this host, or the host that
+// relays to it: entries of targets may expire until it does.
+func (n *Node) recordStoreFailure() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.directory.RecordFailure()
+}
+
 // recordStoreAnswer records the time of the store's last answer.
 func (n *Node) recordStoreAnswer(at time.Duration) {
 	n.lastStoreAnswer.Store(max(n.lastStoreAnswer.Load(), int64(at)))
--- a/internal/entry/follow_test.go
+++ b/internal/entry/follow_test.go
@@ -37,6 +37,7 @@
 	n.directory.RecordAnswer(steadyClock() - time.Minute)
 	assert.Equal(t, len(feed.apply(entry(1, false))), 1)
 	assert.Equal(t, len(feed.apply(entry(2, false))), 0, "a heartbeat is not relayed")
+	n.directory.RecordFailure()
 	n.directory.RecordAnswer(steadyClock()) // after an outage
 	assert.Equal(t, len(feed.apply(entry(2, true))), 1)
 	assert.Equal(t, len(n.directory.TargetsOf("s")), 1, "kept until the entry must have reappeared")
--- a/membership/directory/directory.go
+++ b/membership/directory/directory.go
@@ -45,6 +45,7 @@
 	leaving    map[string]leavingMark // targets that said in answers that they are leaving
 	answeredAt time.Duration          // time of the last answer from the store
 	returnedAt time.Duration          // time at which the store last returned, 0 if never
+	failed     bool                   // the store was found unavailable since its last answer
 	hasAnswer  bool                   // whether the store has answered
 }
 
@@ -57,14 +58,20 @@
 }
 
 // RecordAnswer records an answer from the store. Call it before passing in the
-// entries of the answer.
+// entries of the answer. A long time without answers counts as an outage of the store
+// only if it was found unavailable meanwhile: a host that was frozen, or that nobody
+// relayed to for a while, must not keep the entries of targets that have left.
 func (d *Directory) RecordAnswer(now time.Duration) {
-	if d.hasAnswer && now-d.answeredAt > d.timing.OutageAfter {
+	if d.hasAnswer && d.failed && now-d.answeredAt > d.timing.OutageAfter {
 		d.returnedAt = now
 	}
-	d.answeredAt, d.hasAnswer = now, true
+	d.answeredAt, d.hasAnswer, d.failed = now, true, false
 }
 
+// RecordFailure records that the store did not answer this host, or the host that
+// relays to it.
+func (d *Directory) RecordFailure() { d.failed = true }
+
 // HasAnswer reports whether the store has ever answered.
 func (d *Directory) HasAnswer() bool { return d.hasAnswer }
 
--- a/membership/directory/directory_test.go
+++ b/membership/directory/directory_test.go
@@ -27,6 +27,7 @@
 
 func TestEntriesExpiredDuringOutageAreKeptForReturnPeriod(t *testing.T) {
 	d := newDirectory()
+	d.RecordFailure()
 	d.RecordAnswer(5 * second) // after an outage
 	d.Replace(5*second, nil)
 	assert.Equal(t, len(d.TargetsOf("s")), 2)
@@ -39,8 +40,21 @@
 	assert.Assert(t, ok, "the target wrote its entry again")
 }
 
+// A host hears nothing for a while because the hosts that relay to it have changed, or
+// because it was frozen. The store was available, so an entry that is gone names a target
+// that is leaving, and must not be kept. A failure of before the last answer does not count.
+func TestTimeWithoutRelaysIsNoOutage(t *testing.T) {
+	d := newDirectory()
+	d.RecordFailure()
+	d.RecordAnswer(second / 2)
+	d.RecordAnswer(5 * second)
+	d.Remove(5*second, "a")
+	assert.Equal(t, len(d.TargetsOf("s")), 1)
+}
+
 func TestEntryRemovedAfterReturnPeriodIsDropped(t *testing.T) {
 	d := newDirectory()
+	d.RecordFailure()
 	d.RecordAnswer(5 * second)
 	d.RecordAnswer(5*second + second/2)
 	d.RecordAnswer(6 * second)
