Run requests of a route with allowed regions only in these regions

Change: pool.Target has a Region and pool.Request a list of Regions. The first send, retries, the queue and the owner of a key take only targets in these regions; a target without a known region is in none. A request for which no such target can ever have room is refused at once. Waits, service rates, pauses and retry schedules count only the targets that the request may use, and a request waits only for requests that want the same targets.

Measured: go test -race ./admission/... ./internal/entry ./docs passes. With the check of unknown regions inverted, TestNoRequestStartsOutsideItsRegions and TestRequestRunsOnlyInItsRegions fail.

--- a/admission/pool/pause.go
+++ b/admission/pool/pause.go
@@ -49,11 +49,12 @@
 // pausedFor returns how much longer the target wants no request from this host.
 func (t *target) pausedFor(now time.Duration) time.Duration { return max(0, t.pausedUntil-now) }
 
-// allPausedFor returns the time until the first target is not paused.
-func (p *Pool) allPausedFor(now time.Duration) time.Duration {
+// allPausedFor returns the time until the first target that the request may use, except
+// for those in the given regions, is not paused.
+func (p *Pool) allPausedFor(now time.Duration, r Request, except regionSet) time.Duration {
 	least, found := time.Duration(0), false
 	for _, t := range p.targets {
-		if t.Leaving {
+		if t.Leaving || !r.mayUse(t) || except.has(t) {
 			continue
 		}
 		if left := t.pausedFor(now); !found || left < least {
@@ -64,13 +65,15 @@
 }
 
 // PausedFor returns how much longer no request for the key can be sent because the
-// targets that could run it asked for a pause.
-func (p *Pool) PausedFor(now time.Duration, key int) time.Duration {
+// targets that could run it asked for a pause. If regions are given, only targets in
+// these may run it.
+func (p *Pool) PausedFor(now time.Duration, key int, regions ...string) time.Duration {
 	p.now = now
+	r := Request{Key: key, Regions: regions}
 	if !p.cfg.Keyed {
-		return p.allPausedFor(now)
+		return p.allPausedFor(now, r, regionSet{})
 	}
-	if t, _ := p.availableOwner(key); t != nil {
+	if t, _ := p.ownerFor(r); t != nil {
 		return t.pausedFor(now)
 	}
 	return 0
@@ -79,14 +82,14 @@
 // refuseIfPaused refuses a request whose targets are paused until after an answer
 // would be of use.
 func (p *Pool) refuseIfPaused(now time.Duration, r Request) (Action, bool) {
-	left := p.PausedFor(now, r.Key)
+	left := p.PausedFor(now, r.Key, r.Regions...)
 	if left == 0 || now+left+p.serviceTime.value <= r.latestAnswer() {
 		return Action{}, false
 	}
 	if !p.cfg.Keyed {
-		return p.refuse(now, r, Paused, p.retrySchedule.nextRetry(now, left, p.serviceRate())), true
+		return p.refuse(now, r, Paused, p.retryScheduleOf(r).nextRetry(now, left, p.serviceRate(r, regionSet{}))), true
 	}
-	t, _ := p.availableOwner(r.Key)
+	t, _ := p.ownerFor(r)
 	t.refusedFull++
 	return p.refuse(now, r, Paused, t.retrySchedule.nextRetry(now, left, t.serviceRate(p.cfg.BacklogFraction))), true
 }
--- a/admission/pool/pool.go
+++ b/admission/pool/pool.go
@@ -68,6 +68,9 @@
 	pauses         map[string]pause         // by target; kept while a target has no entry
 	notHeldUntil   map[uint64]time.Duration // by fence of keys that their owner did not hold: no request is sent before this time
 	ownerlessSince map[int]time.Duration    // by first key of a range: when it was first found without an owner
+
+	emptySince      map[string]time.Duration  // by region: when it was first found without a target that accepts work
+	regionSchedules map[string]*retrySchedule // of an unkeyed service, by allowed regions
 }
 
 // New returns a pool without targets.
@@ -76,6 +79,7 @@
 		cfg: cfg, targets: make(map[string]*target),
 		completedMoves: make(map[keyrange.ID]bool), notHeldUntil: make(map[uint64]time.Duration),
 		ownerlessSince: make(map[int]time.Duration), pauses: make(map[string]pause),
+		emptySince: make(map[string]time.Duration), regionSchedules: make(map[string]*retrySchedule),
 	}
 	p.serviceTime.reset(cfg.InitialServiceTime)
 	return p
@@ -103,6 +107,7 @@
 			}
 		}
 	}
+	p.forgetAbsences()
 }
 
 // SetOtherHostsLoad sets the number of requests that all other hosts run at
@@ -155,7 +160,7 @@
 		}
 	}
 	for _, r := range p.waiting {
-		if t, _ := p.availableOwner(r.Key); t != nil {
+		if t, _ := p.ownerFor(r); t != nil {
 			out[t.Owner.Target]++
 		}
 	}
@@ -197,7 +202,7 @@
 		return []Action{a}
 	}
 	if now >= r.NotBefore {
-		if t, fence, ok := p.pickTarget(now, r); ok && !p.hasEarlierWaiting(r) {
+		if t, fence, ok := p.pickTarget(now, r, p.reservedFor(r)); ok {
 			return []Action{p.start(now, t, fence, r)}
 		}
 	}
@@ -221,12 +226,13 @@
 	return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.Arrived, b.Arrived), cmp.Compare(a.ID, b.ID))
 }
 
-// hasEarlierWaiting reports whether a waiting request must start before r.
-func (p *Pool) hasEarlierWaiting(r Request) bool {
+// reservedFor returns the regions whose targets are left to waiting requests that must
+// start before r.
+func (p *Pool) reservedFor(r Request) regionSet {
 	if p.cfg.Keyed {
-		return false // pickTarget checked the key's owner; Tick starts requests in order
+		return regionSet{} // pickTarget checks the key's owner; Tick starts requests in order
 	}
-	return len(p.waiting) > 0 && compareRequests(p.waiting[0], r) < 0
+	return p.claimedBefore(r)
 }
 
 func (p *Pool) start(now time.Duration, t *target, fence uint64, r Request) Action {
@@ -248,10 +254,10 @@
 }
 
 // pickTarget returns the target on which the request can start now, and for a
-// keyed service the fence of its keys.
-func (p *Pool) pickTarget(now time.Duration, r Request) (*target, uint64, bool) {
+// keyed service the fence of its keys. Targets in reserved regions are left out.
+func (p *Pool) pickTarget(now time.Duration, r Request, reserved regionSet) (*target, uint64, bool) {
 	if p.cfg.Keyed {
-		t, fence := p.availableOwner(r.Key)
+		t, fence := p.ownerFor(r)
 		if t == nil || !t.hasRoom(now, p.cfg.BacklogFraction, p.hostCount) {
 			return nil, 0, false
 		}
@@ -260,6 +266,9 @@
 	var best *target
 	bestCost := math.Inf(1)
 	for _, t := range p.targets {
+		if !r.mayUse(t) || reserved.has(t) {
+			continue
+		}
 		if t.Leaving || !t.hasRoom(now, p.cfg.BacklogFraction, 0) || slices.Contains(r.TriedTargets, t.Owner.Target) {
 			continue
 		}
@@ -279,9 +288,9 @@
 	var actions []Action
 	kept := p.waiting[:0]
 	fullOwners := make(map[*target]bool)
-	noRoom := false
+	var full regionSet
 	for _, r := range p.waiting {
-		if a, done := p.tryWaiting(now, r, fullOwners, &noRoom); done {
+		if a, done := p.tryWaiting(now, r, fullOwners, &full); done {
 			actions = append(actions, a)
 			continue
 		}
@@ -292,7 +301,7 @@
 	return actions
 }
 
-func (p *Pool) tryWaiting(now time.Duration, r Request, fullOwners map[*target]bool, noRoom *bool) (Action, bool) {
+func (p *Pool) tryWaiting(now time.Duration, r Request, fullOwners map[*target]bool, full *regionSet) (Action, bool) {
 	if now+minUsefulTime >= r.Deadline {
 		return p.refuse(now, r, Late, p.expectedWait(r)), true
 	}
@@ -301,19 +310,19 @@
 	}
 	var owner *target
 	if p.cfg.Keyed {
-		owner, _ = p.availableOwner(r.Key)
+		owner, _ = p.ownerFor(r)
 	}
-	if now < r.NotBefore || *noRoom || fullOwners[owner] {
+	if now < r.NotBefore || full.covers(r) || fullOwners[owner] {
 		return Action{}, false
 	}
-	t, fence, ok := p.pickTarget(now, r)
+	t, fence, ok := p.pickTarget(now, r, regionSet{})
 	switch {
 	case ok:
 		return p.start(now, t, fence, r), true
 	case p.cfg.Keyed:
 		fullOwners[owner] = true
 	case len(r.TriedTargets) == 0:
-		*noRoom = true
+		full.add(r)
 	}
 	return p.refuseIfPaused(now, r)
 }
--- a/admission/pool/refusal.go
+++ b/admission/pool/refusal.go
@@ -16,6 +16,9 @@
 func (p *Pool) refuseIfTooLate(now time.Duration, r Request) (Action, bool) {
 	reason, runnable := p.isRunnable(r)
 	if !runnable {
+		if a, refused := p.refuseOutside(now, r, reason); refused {
+			return a, true
+		}
 		limit := r.Arrived + p.cfg.OwnerWait
 		if p.isMoving(r.Key) {
 			limit = max(limit, r.Goal-p.serviceTime.value)
@@ -31,11 +34,11 @@
 	wait := p.expectedWait(r)
 	if now+wait+p.serviceTime.value > r.latestAnswer() && now-r.Arrived < p.cfg.Cooldown {
 		if p.cfg.Keyed {
-			t, _ := p.availableOwner(r.Key)
+			t, _ := p.ownerFor(r)
 			t.refusedFull++
 			return p.refuse(now, r, Full, t.retrySchedule.nextRetry(now, wait, t.serviceRate(p.cfg.BacklogFraction))), true
 		}
-		return p.refuse(now, r, Full, p.retrySchedule.nextRetry(now, wait, p.serviceRate())), true
+		return p.refuse(now, r, Full, p.retryScheduleOf(r).nextRetry(now, wait, p.serviceRate(r, regionSet{}))), true
 	}
 	return Action{}, false
 }
@@ -50,11 +53,11 @@
 // none can, it returns the reason.
 func (p *Pool) isRunnable(r Request) (Reason, bool) {
 	if p.cfg.Keyed {
-		t, _ := p.availableOwner(r.Key)
+		t, _ := p.ownerFor(r)
 		return NoOwner, t != nil
 	}
 	for _, t := range p.targets {
-		if !t.Leaving {
+		if !t.Leaving && r.mayUse(t) && !r.isExhausted(t) {
 			return "", true
 		}
 	}
@@ -64,33 +67,34 @@
 // expectedWait estimates how long the request waits for the requests before it.
 func (p *Pool) expectedWait(r Request) time.Duration {
 	if p.cfg.Keyed {
-		t, _ := p.availableOwner(r.Key)
+		t, _ := p.ownerFor(r)
 		if t == nil {
 			return p.cfg.OwnerWait
 		}
 		ahead := 1
 		for _, w := range p.waiting {
-			if o, _ := p.availableOwner(w.Key); o == t && compareRequests(w, r) < 0 {
+			if o, _ := p.ownerFor(w); o == t && compareRequests(w, r) < 0 {
 				ahead++
 			}
 		}
 		return t.pausedFor(p.now) + time.Duration(float64(ahead)/t.serviceRate(p.cfg.BacklogFraction)*float64(time.Second))
 	}
-	ahead := 1
-	for _, w := range p.waiting {
-		if compareRequests(w, r) < 0 {
-			ahead++
-		}
-	}
-	return p.allPausedFor(p.now) + time.Duration(float64(ahead)/p.serviceRate()*float64(time.Second))
+	wait := p.allPausedFor(p.now, r, regionSet{}) + p.timeFor(p.requestsAhead(r), r, regionSet{})
+	return p.shortestWait(r, wait)
 }
 
-// serviceRate returns the number of requests per second that this host can
-// complete at targets that are not Far, once the first of them are not paused.
-func (p *Pool) serviceRate() float64 {
-	rate, paused := 0.0, p.allPausedFor(p.now)
+// serviceRate returns the number of requests per second that this host can complete at
+// the targets that the request may use, except for those in the given regions, once the
+// first of them are not paused. Far targets count only for a request that has no others
+// because of its regions.
+func (p *Pool) serviceRate(r Request, except regionSet) float64 {
+	rate, paused := 0.0, p.allPausedFor(p.now, r, except)
+	countsFar := p.onlyFar(r, except)
 	for _, t := range p.targets {
-		if !t.Leaving && t.Distance != Far && t.pausedFor(p.now) <= paused {
+		if !r.mayUse(t) || except.has(t) {
+			continue
+		}
+		if !t.Leaving && (t.Distance != Far || countsFar) && t.pausedFor(p.now) <= paused {
 			rate += t.serviceRate(p.cfg.BacklogFraction)
 		}
 	}
--- a/admission/pool/types.go
+++ b/admission/pool/types.go
@@ -22,6 +22,7 @@
 type Target struct {
 	Owner    keyrange.Owner
 	Distance Distance
+	Region   string // "" if not known
 	Slots    int
 	Leaving  bool          // accepts no new work
 	ColdFor  time.Duration // remaining time during which it is slow after its start
@@ -38,6 +39,7 @@
 	Deadline     time.Duration // time from which an answer is of no use
 	TriedTargets []string      // targets that the request was already sent to
 	NotBefore    time.Duration // earliest time at which the request may be sent
+	Regions      []string      // regions whose targets may run the request; empty: all targets may
 }
 
 // Reason is the reason why a request was refused.
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -220,6 +220,7 @@
 	return pool.Request{
 		ID: c.number, Key: c.Key, Priority: c.route.Priority, Arrived: c.arrived,
 		Goal: c.arrived + c.route.LatencyGoal, Deadline: c.deadline, TriedTargets: c.triedTargets, NotBefore: notBefore,
+		Regions: c.route.Regions,
 	}
 }
 
@@ -349,7 +350,7 @@
 		return
 	}
 	if routing.Classify(t.reply) == routing.OutcomeNotRun {
-		c.refuse(t.result.String()+", "+reason.String(), max(shedRetryAfter, c.service.pausedFor(c.Key)))
+		c.refuse(t.result.String()+", "+reason.String(), max(shedRetryAfter, c.service.pausedFor(c.Key, c.route.Regions)))
 		return
 	}
 	status := http.StatusBadGateway
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -307,6 +307,7 @@
 		out = append(out, pool.Target{
 			Owner:    ownerOf(e),
 			Distance: n.distance(e.DataCentre),
+			Region:   n.regionOf(e.DataCentre),
 			Slots:    e.Slots,
 			Leaving:  e.Leaving,
 			ColdFor:  e.ColdFor,
@@ -332,6 +333,15 @@
 	}
 }
 
+// regionOf returns the region of a data centre, or "" if it is not known.
+func (n *Node) regionOf(dataCentre string) string {
+	s := n.settings.Load()
+	if dataCentre == s.DataCentre {
+		return s.Region
+	}
+	return s.Regions[dataCentre]
+}
+
 // setOwners brings an owner map that is in the store into force, if it is newer
 // than the current one.
 func (n *Node) setOwners(service string, o owners) {
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -129,11 +129,12 @@
 	})
 }
 
-// pausedFor returns how much longer the targets that could run a request want none.
-func (s *service) pausedFor(key int) time.Duration {
+// pausedFor returns how much longer the targets that could run a request want none. If
+// regions are given, only targets in these could.
+func (s *service) pausedFor(key int, regions []string) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.pool.PausedFor(steadyClock(), key)
+	return s.pool.PausedFor(steadyClock(), key, regions...)
 }
 
 // countArrival counts a new request for the retry budget and the key loads.
