admission/pool: limit the requests to cold targets

Hosts sent to a target that had just started as to any other; SetTargets restarted the remaining time of coldness of an entry at each call. For services with a cold rate a cold target now has room only for the sends of admission/coldstart, and its state belongs to its run. What only cold targets could run is refused with the time at which they take it. Services without a cold rate are not affected.

Measured: GOMAXPROCS=2 go test -race ./admission/pool passes.

--- a/admission/pool/pool.go
+++ b/admission/pool/pool.go
@@ -68,6 +68,7 @@
 	pauses         map[string]pause         // by target; kept while a target has no entry
 	notHeldUntil   map[uint64]time.Duration // by fence of keys that their owner did not hold: no request is sent before this time
 	ownerlessSince map[int]time.Duration    // by first key of a range: when it was first found without an owner
+	cold           coldTargets
 }
 
 // New returns a pool without targets.
@@ -76,6 +77,7 @@
 		cfg: cfg, targets: make(map[string]*target),
 		completedMoves: make(map[keyrange.ID]bool), notHeldUntil: make(map[uint64]time.Duration),
 		ownerlessSince: make(map[int]time.Duration), pauses: make(map[string]pause),
+		cold: coldTargets{runs: make(map[coldRun]*coldRunState)},
 	}
 	p.serviceTime.reset(cfg.InitialServiceTime)
 	return p
@@ -94,7 +96,9 @@
 			p.targets[t.Owner.Target] = old
 		}
 		old.update(now, t)
+		p.observeCold(now, old)
 	}
+	p.cold.markSeen(now, len(targets))
 	for name, t := range p.targets {
 		if !seen[name] {
 			t.Leaving = true
@@ -193,6 +197,7 @@
 // waits.
 func (p *Pool) Arrive(now time.Duration, r Request) []Action {
 	p.now = now
+	p.cold.hasServed = true
 	if a, refused := p.refuseThinned(now, r); refused {
 		return []Action{a}
 	}
@@ -224,7 +229,8 @@
 // hasEarlierWaiting reports whether a waiting request must start before r.
 func (p *Pool) hasEarlierWaiting(r Request) bool {
 	if p.cfg.Keyed {
-		return false // pickTarget checked the key's owner; Tick starts requests in order
+		// pickTarget checked the key's owner; Tick starts requests in order.
+		return p.hasEarlierForColdOwner(r)
 	}
 	return len(p.waiting) > 0 && compareRequests(p.waiting[0], r) < 0
 }
@@ -235,7 +241,7 @@
 	}
 	t.running++
 	t.recordStart(now, p.serviceTimeAt(t))
-	return Action{ID: r.ID, Start: true, Target: t.Owner, Fence: fence, Waited: now - r.Arrived}
+	return Action{ID: r.ID, Start: true, Target: t.Owner, Fence: fence, Waited: now - r.Arrived, Cold: t.recordColdSend(now)}
 }
 
 // serviceTimeAt returns the expected service time at a target that has a free
@@ -289,7 +295,7 @@
 	}
 	clear(p.waiting[len(kept):])
 	p.waiting = kept
-	return actions
+	return append(actions, p.refuseWaitingCold(now)...)
 }
 
 func (p *Pool) tryWaiting(now time.Duration, r Request, fullOwners map[*target]bool, noRoom *bool) (Action, bool) {
--- a/admission/pool/refusal.go
+++ b/admission/pool/refusal.go
@@ -28,6 +28,9 @@
 	if a, refused := p.refuseIfPaused(now, r); refused {
 		return a, true
 	}
+	if a, refused := p.refuseIfCold(now, r); refused {
+		return a, true
+	}
 	wait := p.expectedWait(r)
 	if now+wait+p.serviceTime.value > r.latestAnswer() && now-r.Arrived < p.cfg.Cooldown {
 		if p.cfg.Keyed {
@@ -63,6 +66,9 @@
 
 // expectedWait estimates how long the request waits for the requests before it.
 func (p *Pool) expectedWait(r Request) time.Duration {
+	if wait, isCold := p.coldWait(r); isCold {
+		return wait
+	}
 	if p.cfg.Keyed {
 		t, _ := p.availableOwner(r.Key)
 		if t == nil {
@@ -91,7 +97,7 @@
 	rate, paused := 0.0, p.allPausedFor(p.now)
 	for _, t := range p.targets {
 		if !t.Leaving && t.Distance != Far && t.pausedFor(p.now) <= paused {
-			rate += t.serviceRate(p.cfg.BacklogFraction)
+			rate += p.rateOf(t)
 		}
 	}
 	return max(rate, 1)
--- a/admission/pool/target.go
+++ b/admission/pool/target.go
@@ -68,6 +68,7 @@
 	coolUntil           time.Duration    // no request is sent before this time
 	coldUntil           time.Duration
 	pausedUntil         time.Duration // the target wants no request from this host before this time
+	cold                *coldRunState // nil if the requests to cold targets are not limited
 }
 
 func newTarget(t Target, initialServiceTime time.Duration) *target {
@@ -93,7 +94,7 @@
 // late; a cooldown, the connection limit or the host's share can still prevent
 // it.
 func (t *target) hasRoom(now time.Duration, backlog float64, hosts int) bool {
-	if now < t.coolUntil || now < t.pausedUntil || t.Limit > 0 && t.running >= t.Limit {
+	if t.isColdClosed(now) || now < t.coolUntil || now < t.pausedUntil || t.Limit > 0 && t.running >= t.Limit {
 		return false
 	}
 	if t.hostShare > 0 {
--- a/admission/pool/types.go
+++ b/admission/pool/types.go
@@ -24,8 +24,10 @@
 	Distance Distance
 	Slots    int
 	Leaving  bool          // accepts no new work
-	ColdFor  time.Duration // remaining time during which it is slow after its start
+	ColdFor  time.Duration // remaining time during which it is slow after its start, as written with the heartbeat
 	Limit    int           // maximum number of concurrent requests of this host: its share of connections; 0: no limit
+
+	Heartbeat uint64 // number of the target's writes in this run
 }
 
 // Request is a request that waits for a target.
@@ -61,6 +63,9 @@
 	// Paused means that the targets that could run the request asked for a pause
 	// that lasts too long for a useful answer.
 	Paused Reason = "paused"
+	// Cold means that only cold targets could run the request, and they would take it
+	// too late for a useful answer.
+	Cold Reason = "cold"
 	// Displaced means that a more urgent request took the place of this one.
 	Displaced Reason = "displaced"
 )
@@ -72,6 +77,7 @@
 	Target     keyrange.Owner // with Start
 	Fence      uint64         // with Start: fence of the key; 0 for an unkeyed service
 	Waited     time.Duration
+	Cold       bool          // with Start: the target is cold
 	Reason     Reason        // of a refusal
 	RetryAfter time.Duration // of a refusal: when there will be room
 }
