placement/hotrange: no keys for cold targets while warm ones have room

A target that has just restarted got keys at once. It now gets some when it is warm, unless all targets are cold or the warm ones are full; a cold owner keeps its keys for a short time of coldness.

Measured: GOMAXPROCS=2 go test -race ./placement/hotrange passes.

--- a/placement/hotrange/plan.go
+++ b/placement/hotrange/plan.go
@@ -6,7 +6,9 @@
 //     according to the load, and slices of the size that balances two targets
 //     move;
 //   - targets that join, leave or restart, and targets of different speeds: load
-//     is compared with the capacity of each target.
+//     is compared with the capacity of each target;
+//   - targets that are cold after their start: they get keys when they are warm, unless
+//     all are cold or the warm ones have no room.
 package hotrange
 
 import (
@@ -21,6 +23,13 @@
 type Target struct {
 	Owner    keyrange.Owner
 	Capacity float64 // requests per second that it can process
+
+	// Cold means that it has just started and can take only ColdCapacity requests per
+	// second. It gets keys only if no warm target has room, and keeps those that it has
+	// unless LongCold is set.
+	Cold         bool
+	LongCold     bool // it stays cold for so long that moving its keys away pays
+	ColdCapacity float64
 }
 
 // Reason says why a move is made.
@@ -70,6 +79,7 @@
 type planner struct {
 	m       *keyrange.Map
 	targets []Target
+	allCold bool      // then no target is treated as cold
 	load    []float64 // load of each target after the moves planned so far
 	sums    prefixSums
 	moves   []Move
@@ -81,7 +91,7 @@
 	if len(s.Targets) == 0 {
 		return nil
 	}
-	p := &planner{m: s.Map.Clone(), targets: s.Targets, load: make([]float64, len(s.Targets)), sums: s.Loads.prefixSums()}
+	p := &planner{m: s.Map.Clone(), targets: s.Targets, allCold: allCold(s.Targets), load: make([]float64, len(s.Targets)), sums: s.Loads.prefixSums()}
 	var lost []keyrange.Range
 	for _, r := range p.m.Ranges {
 		if i := p.targetIndex(r.Owner); i >= 0 {
@@ -154,7 +164,7 @@
 			continue
 		}
 		to := p.targetIndex(p.m.Ranges[j].Owner)
-		if to >= 0 && to != owner && p.utilization(to, load) < limits.StartUtilization {
+		if to >= 0 && to != owner && !p.isCold(to) && p.utilization(to, load) < limits.StartUtilization {
 			recipient = to
 		}
 	}
@@ -169,14 +179,56 @@
 // utilization returns the load of target i plus extra, divided by the target's
 // capacity.
 func (p *planner) utilization(i int, extra float64) float64 {
-	return (p.load[i] + extra) / max(p.targets[i].Capacity, 0.01)
+	return (p.load[i] + extra) / max(p.capacity(i), 0.01)
+}
+
+// allCold reports whether no target is warm.
+func allCold(targets []Target) bool {
+	return !slices.ContainsFunc(targets, func(t Target) bool { return !t.Cold })
+}
+
+// isCold reports whether target i gets no keys while a warm target has room.
+func (p *planner) isCold(i int) bool { return p.targets[i].Cold && !p.allCold }
+
+// keeps reports whether target i keeps its keys because it is cold for a short time.
+func (p *planner) keeps(i int) bool { return p.isCold(i) && !p.targets[i].LongCold }
+
+// capacity returns the requests per second that target i can process.
+func (p *planner) capacity(i int) float64 {
+	t := p.targets[i]
+	if p.isCold(i) && t.LongCold {
+		return t.ColdCapacity
+	}
+	return t.Capacity
+}
+
+// recipientOfLost returns the target that gets lost keys with the given load: a warm one,
+// or if none has room, the one with the lowest utilization of all.
+func (p *planner) recipientOfLost(load float64) int {
+	best := p.leastUtilized(load)
+	lowest := p.utilization(best, load)
+	if lowest <= 1 {
+		return best
+	}
+	for i, t := range p.targets {
+		if !p.isCold(i) || t.ColdCapacity <= 0 {
+			continue
+		}
+		if utilization := (p.load[i] + load) / t.ColdCapacity; utilization < lowest {
+			best, lowest = i, utilization
+		}
+	}
+	return best
 }
 
-// leastUtilized returns the target with the lowest utilization after adding the
-// extra load.
+// leastUtilized returns the target that is not cold with the lowest utilization after
+// adding the extra load.
 func (p *planner) leastUtilized(extra float64) int {
 	best, lowest := 0, math.Inf(1)
 	for i := range p.targets {
+		if p.isCold(i) {
+			continue
+		}
 		if utilization := p.utilization(i, extra); utilization < lowest {
 			best, lowest = i, utilization
 		}
@@ -207,7 +259,7 @@
 		return cmp.Compare(p.sums.between(b.From, b.To), p.sums.between(a.From, a.To))
 	})
 	for _, r := range parts {
-		p.addMove(r.From, r.To, p.leastUtilized(p.sums.between(r.From, r.To)), ReasonLost)
+		p.addMove(r.From, r.To, p.recipientOfLost(p.sums.between(r.From, r.To)), ReasonLost)
 	}
 }
 
@@ -248,7 +300,7 @@
 		if !isBusy && low >= limits.IdleShare*mean || high <= mean {
 			return
 		}
-		wanted := min((high-mean)*p.targets[from].Capacity, (mean-low)*p.targets[to].Capacity)
+		wanted := min((high-mean)*p.capacity(from), (mean-low)*p.capacity(to))
 		slice, ok := p.chooseSlice(from, wanted, s.Fixed)
 		if !ok {
 			slice, to, ok = p.chooseHotKey(from, wanted, min(high-limits.MinGain, hotKeyMaxRatio*high), s.Fixed)
@@ -308,21 +360,25 @@
 }
 
 // meanUtilization returns the utilization that all targets would have with an
-// even load.
+// even load. Targets that keep their keys, and their load, are left out.
 func (p *planner) meanUtilization() float64 {
-	capacity := 0.0
-	for _, t := range p.targets {
-		capacity += t.Capacity
+	capacity, load := 0.0, p.sums.total()
+	for i := range p.targets {
+		if p.keeps(i) {
+			load -= p.load[i]
+		} else {
+			capacity += p.capacity(i)
+		}
 	}
-	return p.sums.total() / max(capacity, 0.01)
+	return load / max(capacity, 0.01)
 }
 
-// mostUtilized returns the target with the highest utilization that is not in
-// exhausted, or -1.
+// mostUtilized returns the target with the highest utilization that neither keeps its
+// keys nor is in exhausted, or -1.
 func (p *planner) mostUtilized(exhausted map[int]bool) int {
 	best := -1
 	for i := range p.targets {
-		if !exhausted[i] && (best < 0 || p.utilization(i, 0) > p.utilization(best, 0)) {
+		if !exhausted[i] && !p.keeps(i) && (best < 0 || p.utilization(i, 0) > p.utilization(best, 0)) {
 			best = i
 		}
 	}
--- a/placement/hotrange/plan_test.go
+++ b/placement/hotrange/plan_test.go
@@ -264,3 +264,87 @@
 	l.Add(keyrange.MaxKey+1, 1, windowSeconds) // out of range: ignored
 	l.Decay(100, windowSeconds)
 }
+
+// rangesOf returns the number of ranges that a target owns.
+func rangesOf(m *keyrange.Map, owner keyrange.Owner) int {
+	count := 0
+	for _, r := range m.Ranges {
+		if r.Owner.SameRun(owner) {
+			count++
+		}
+	}
+	return count
+}
+
+// TestColdTargetsGetNoKeys: targets restart one after the other. A cold one gets neither
+// the keys of a lost owner nor some for balance while warm targets have room; when it is
+// warm it gets some.
+func TestColdTargetsGetNoKeys(t *testing.T) {
+	list := newTargets(30, 30, 30, 30)
+	m := newMap(list)
+	loads := &hotrange.Loads{}
+	for key := 0; key <= keyrange.MaxKey; key += 1024 {
+		setRate(loads, key, 1)
+	}
+	list[0].Owner.Run = 2
+	list[0].Cold, list[0].ColdCapacity = true, 3
+	assert.Assert(t, planRounds(t, m, list, loads, 10) > 0)
+	assert.Equal(t, rangesOf(m, list[0].Owner), 0)
+	list[0].Cold = false
+	planRounds(t, m, list, loads, 10)
+	assert.Assert(t, rangesOf(m, list[0].Owner) > 0)
+}
+
+// TestKeysOfColdTargets: all targets have restarted and share the work. One that turns
+// cold again keeps its keys, unless it stays cold for long.
+func TestKeysOfColdTargets(t *testing.T) {
+	list := newTargets(30, 30, 30, 30)
+	m := newMap(list)
+	loads := &hotrange.Loads{}
+	for key := 0; key <= keyrange.MaxKey; key += 1024 {
+		setRate(loads, key, 1)
+	}
+	for i := range list {
+		list[i].Owner.Run = 2
+		list[i].Cold, list[i].ColdCapacity = true, 3
+	}
+	planRounds(t, m, list, loads, 10)
+	for i := range list {
+		assert.Assert(t, rangesOf(m, list[i].Owner) > 0, "target %d has no keys", i)
+	}
+	for i := range list[1:] {
+		list[i+1].Cold = false
+	}
+	planRounds(t, m, list, loads, 10)
+	assert.Assert(t, rangesOf(m, list[0].Owner) > 0)
+	list[0].LongCold = true
+	planRounds(t, m, list, loads, 20)
+	keys := 0
+	for _, r := range m.Ranges {
+		if r.Owner.SameRun(list[0].Owner) {
+			keys += r.Keys()
+		}
+	}
+	assert.Assert(t, keys < (keyrange.MaxKey+1)/8, "%d keys stay with the cold target", keys)
+}
+
+// TestLostKeysGoToColdTargetsIfWarmOnesAreFull: the only warm target has no room for the
+// keys of the others, which have restarted.
+func TestLostKeysGoToColdTargetsIfWarmOnesAreFull(t *testing.T) {
+	list := newTargets(30, 30, 30, 30)
+	m := newMap(list)
+	loads := &hotrange.Loads{}
+	for key := 0; key <= keyrange.MaxKey; key += 2048 {
+		setRate(loads, key, 1.2)
+	}
+	for i := range list[1:] {
+		list[i+1].Owner.Run = 2
+		list[i+1].Cold, list[i+1].ColdCapacity = true, 6
+	}
+	planRounds(t, m, list, loads, 1)
+	cold := 0
+	for _, target := range list[1:] {
+		cold += rangesOf(m, target.Owner)
+	}
+	assert.Assert(t, cold > 0 && rangesOf(m, list[0].Owner) > 0)
+}
