--- a/internal/entry/events.go
+++ b/internal/entry/events.go
@@ -28,6 +28,9 @@
 
 	evLeaving = kernel.RegisterEvent(6016, hclog.Info, "target says that it is leaving")
 
+	evCold = kernel.RegisterEvent(6020, hclog.Info, "target counts as cold: its requests are limited")
+	evWarm = kernel.RegisterEvent(6021, hclog.Info, "target counts as warm again")
+
 	evAnswered = kernel.RegisterEvent(6100, hclog.Info, "request answered by a target")
 	evRefused  = kernel.RegisterEvent(6101, hclog.Info, "request refused: not run")
 	evUnknown  = kernel.RegisterEvent(6102, hclog.Warn, "request ended without an answer: it may have run")
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -187,6 +187,7 @@
 		if !ok {
 			c.abandon("waiting")
 		}
+		c.node.counters.countCold(c.service.name, a)
 		if !a.Start {
 			c.refuse(string(a.Reason), a.RetryAfter)
 			return
@@ -233,6 +234,9 @@
 	c.service.finish(a, t.took, t.result, t.pause)
 	c.node.counters.countTry(t.result)
 	c.recordOutcome(a.Target, t)
+	if t.result == pool.Unreachable && isConnRefused(t.err) {
+		c.service.recordRefused(a.Target)
+	}
 	if t.pause > 0 {
 		c.node.counters.countPause()
 		c.node.log.EmitFields(evPaused, append(c.attemptFields(a, t), kernel.Int("pause_ms", ms(t.pause)))...)
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -26,6 +26,7 @@
 		}
 		return 0
 	})
+	gauge("mangopost_entry_cold_targets", func() float64 { return float64(n.countColdTargets()) })
 	gauge("mangopost_entry_store_age_seconds", func() float64 { return n.storeAge().Seconds() })
 	gauge("mangopost_entry_store_calls_total", func() float64 { return float64(n.store.Calls()) })
 	gauge("mangopost_entry_log_dropped_total", func() float64 { return float64(n.log.Dropped()) })
@@ -73,6 +74,16 @@
 	c.set.GetOrCreateCounter(`mangopost_entry_pauses_total`).Inc()
 }
 
+// countCold counts a decision on a request if it is due to a cold target.
+func (c *counters) countCold(service string, a pool.Action) {
+	if a.Cold {
+		c.set.GetOrCreateCounter(fmt.Sprintf(`mangopost_entry_cold_sends_total{service=%q}`, service)).Inc()
+	}
+	if a.Reason == pool.Cold {
+		c.set.GetOrCreateCounter(fmt.Sprintf(`mangopost_entry_cold_refusals_total{service=%q}`, service)).Inc()
+	}
+}
+
 func (c *counters) countQuarantined() {
 	c.set.GetOrCreateCounter(`mangopost_entry_requests_quarantined_total`).Inc()
 }
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -67,6 +67,7 @@
 	reportNow       chan struct{} // requests a report before the next one is due
 	reportFailed    atomic.Bool   // the coordinator did not answer the last report
 	hostCount       atomic.Int64  // hosts that report to the coordinator
+	coldHosts       coldHosts     // hosts that may send to cold targets
 	lastStoreAnswer atomic.Int64  // time of the store's last answer, on steadyClock
 
 	quarantine *quarantine
@@ -176,6 +177,7 @@
 			n.conns.closeExpired()
 			n.tickDirectory()
 			n.quarantine.forgetOld()
+			n.updateCold()
 			if now := n.isReady(); now != ready {
 				ready = now
 				n.log.Emit(evReady, "ready", ready)
@@ -255,6 +257,9 @@
 			n.services[name] = newService(s, n.newRetryBudget(), hashFraction(n.settings.Load().Host), n.guard)
 		}
 	}
+	for name, s := range t.Services {
+		n.setColdLimits(n.services[name], s)
+	}
 	n.table.Store(t)
 	n.log.Emit(evConfiguration, "configuration", platform.FormatVersion(t.Version), "services", len(t.Services))
 	n.updateTargets()
@@ -311,6 +316,8 @@
 			Leaving:  e.Leaving,
 			ColdFor:  e.ColdFor,
 			Limit:    limit,
+
+			Heartbeat: e.Heartbeat,
 		})
 	}
 	return out
--- a/internal/entry/plan.go
+++ b/internal/entry/plan.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -160,7 +161,13 @@
 	return now >= g.since+targetCountStableTime
 }
 
+// firstMap distributes all keys among the targets that are not cold, or among all if
+// there are none.
 func firstMap(service string, targets []hotrange.Target) *keyrange.Map {
+	isCold := func(t hotrange.Target) bool { return t.Cold }
+	if warm := slices.DeleteFunc(slices.Clone(targets), isCold); len(warm) > 0 {
+		targets = warm
+	}
 	list := make([]keyrange.Owner, len(targets))
 	weights := make([]float64, len(targets))
 	for i, target := range targets {
@@ -173,14 +180,23 @@
 func (t *term) targets(service string) []hotrange.Target {
 	t.node.mu.Lock()
 	entries := t.node.directory.TargetsOf(service)
+	s := t.node.services[service]
 	t.node.mu.Unlock()
+	var cold coldTargets
+	if s != nil {
+		cold = s.coldTargets()
+	}
 	var out []hotrange.Target
 	for _, e := range entries {
 		owner := ownerOf(e)
 		if e.Leaving || t.isSuspect(owner, leaseClock()) {
 			continue
 		}
-		out = append(out, hotrange.Target{Owner: owner, Capacity: t.candidate.capacity(service, owner.Target, e.Slots)})
+		left := cold.remaining[owner.Target]
+		out = append(out, hotrange.Target{
+			Owner: owner, Capacity: t.candidate.capacity(service, owner.Target, e.Slots),
+			Cold: left > 0, LongCold: left > longCold, ColdCapacity: cold.rate,
+		})
 	}
 	return out
 }
--- a/internal/entry/reports.go
+++ b/internal/entry/reports.go
@@ -248,6 +248,7 @@
 // setShares applies this host's shares of the targets and the host counts. Empty shares
 // replace those known before; a zero host count leaves the last known one in place.
 func (n *Node) setShares(shares map[string]demand.Shares, hosts demand.HostSummary) {
+	n.coldHosts.record(hosts.Count)
 	if count := int64(hosts.Count); count > 0 {
 		n.candidate.setHosts(hosts)
 		if n.hostCount.Swap(count) != count {
