entry: limit how long a request to a cold target waits for a connection

Requests that waited for a cut link were written together when it was back, closer to each other than a sender's sends may be.

Measured: GOMAXPROCS=2 go test ./internal/entry -run 'Cold|FirstMap' -count=3 passes.

--- a/admission/coldstart/share.go
+++ b/admission/coldstart/share.go
@@ -28,7 +28,8 @@
 	// limitWindow is the time within which the requests to a cold target are limited.
 	limitWindow = time.Second
 	// sendDelay is how much later than decided a request may be written: a connection
-	// between regions takes 60 ms, and small hosts wait for processor time.
+	// may take 200 ms (coldConnectTime in internal/entry), and small hosts wait for
+	// processor time.
 	sendDelay = 250 * time.Millisecond
 	// window is the time in which a sender makes one send, so that no two of them fall
 	// into one limitWindow.
--- a/internal/entry/cold.go
+++ b/internal/entry/cold.go
@@ -14,6 +14,11 @@
 // warm ones: moves take seconds.
 const longCold = 10 * time.Second
 
+// coldConnectTime limits how long a request to a cold target waits for a connection.
+// Requests that waited for a cut link would be written together when it is back. It is less
+// than what the distance between two sends allows (sendDelay in admission/coldstart).
+const coldConnectTime = 200 * time.Millisecond
+
 // coldHosts is the number of hosts that may send to cold targets, as this host knows it.
 type coldHosts struct {
 	mu    sync.Mutex
--- a/internal/entry/cold_test.go
+++ b/internal/entry/cold_test.go
@@ -3,12 +3,14 @@
 import (
 	"net"
 	"net/http"
+	"syscall"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"github.com/mangopost/mangopost/admission/pool"
 	"github.com/mangopost/mangopost/membership/directory"
 	"github.com/mangopost/mangopost/ownership/keyrange"
 	"github.com/mangopost/mangopost/placement/hotrange"
@@ -74,3 +76,36 @@
 	targets[0].Cold = true
 	assert.Equal(t, len(firstMap("s", targets).Ranges), 2)
 }
+
+// TestNoLateConnectionToColdTarget: requests to a cold target that wait for a connection
+// would all be written when the link is back. An address that takes no more connections
+// must not hold them.
+func TestNoLateConnectionToColdTarget(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	fillBacklog(t, l)
+	n, _ := newServingNode(t)
+	o := &outboundRequest{method: http.MethodGet, uri: "/", id: "1", connectWithin: coldConnectTime}
+	owner := keyrange.Owner{Target: "t0", Run: 1, Addr: l.Addr().String()}
+	a := n.exchange(t.Context(), o, owner, time.Minute)
+	assert.Equal(t, a.result, pool.Unreachable)
+	assert.Assert(t, !a.reply.Sent)
+	assert.Assert(t, a.took < time.Minute/2, "waited for %s", a.took)
+}
+
+// fillBacklog opens connections to a listener that accepts none until it takes no more.
+func fillBacklog(t *testing.T, l net.Listener) {
+	t.Helper()
+	raw, err := l.(*net.TCPListener).SyscallConn()
+	assert.NilError(t, err)
+	assert.NilError(t, raw.Control(func(fd uintptr) { assert.NilError(t, syscall.Listen(int(fd), 0)) }))
+	for range 8 {
+		conn, err := net.DialTimeout("tcp", l.Addr().String(), 50*time.Millisecond)
+		if err != nil {
+			return
+		}
+		t.Cleanup(func() { _ = conn.Close() })
+	}
+	t.Fatal("the listener takes connections without end")
+}
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -98,6 +98,8 @@
 	id     string
 	unsafe bool          // not idempotent: must not run twice
 	sentOn []*targetConn // connections on which it was sent
+
+	connectWithin time.Duration // how long the next attempt may wait for a connection; 0: for the remaining time
 }
 
 // exchange sends a request to a target and returns the outcome, at the latest
@@ -111,7 +113,11 @@
 	if o.id == "" {
 		maxIdle = 0 // a late answer to another request could not be told from this one's
 	}
-	dialCtx, cancel := context.WithTimeout(ctx, remaining)
+	connectTime := remaining
+	if o.connectWithin > 0 {
+		connectTime = min(remaining, o.connectWithin)
+	}
+	dialCtx, cancel := context.WithTimeout(ctx, connectTime)
 	conn, err := n.conns.get(dialCtx, owner.Addr, maxIdle, o)
 	cancel()
 	if err != nil {
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -230,6 +230,10 @@
 		// A request that must not run twice is not cancelled: it runs to its end.
 		sendCtx = context.WithoutCancel(ctx)
 	}
+	c.outbound.connectWithin = 0
+	if a.Cold {
+		c.outbound.connectWithin = coldConnectTime
+	}
 	t := c.node.exchange(sendCtx, c.outbound, a.Target, c.deadline-steadyClock())
 	c.service.finish(a, t.took, t.result, t.pause)
 	c.node.counters.countTry(t.result)
