--- a/admission/pool/cold.go
+++ b/admission/pool/cold.go
@@ -23,7 +23,7 @@
 	firstStartTime = 10 * time.Second
 	// doubtDuration is how long a run counts as cold after its address refused a
 	// connection: the next run may be serving there before its entry is known.
-	doubtDuration = 4 * time.Second
+	doubtDuration = 6 * time.Second
 	// runMemory is how long a run that has no entry is remembered, so that it does not
 	// count as new when its entry returns.
 	runMemory = 10 * time.Minute
@@ -338,7 +338,7 @@
 // refuseWaitingCold refuses the waiting requests that only cold targets could run, if
 // they would take them too late: the targets may have turned cold after they arrived.
 func (p *Pool) refuseWaitingCold(now time.Duration) []Action {
-	if len(p.waiting) == 0 || len(p.ColdTargets(now)) == 0 {
+	if p.cold.cfg.Limits.Rate <= 0 || len(p.waiting) == 0 || len(p.ColdTargets(now)) == 0 {
 		return nil
 	}
 	var actions []Action
--- a/admission/pool/pool.go
+++ b/admission/pool/pool.go
@@ -15,6 +15,9 @@
 //   - targets that shed at random: their window is kept, because they have room;
 //   - targets that ask for a pause: they get no request from this host until its
 //     end, and callers that only such a target could serve return after it;
+//   - cold targets of a service that limits the requests to them: they get only what
+//     admission/coldstart lets this host send, and what only they could serve is refused
+//     with the time at which they take it (cold.go);
 //   - keys whose owner is full: only the requests of that owner wait.
 package pool
 
