--- a/admission/pool/pool.go
+++ b/admission/pool/pool.go
@@ -15,6 +15,9 @@
 //   - targets that shed at random: their window is kept, because they have room;
 //   - targets that ask for a pause: they get no request from this host until its
 //     end, and callers that only such a target could serve return after it;
+//   - cold targets of a service that limits the requests to them: they get only what
+//     admission/coldstart lets this host send, and what only they could serve is refused
+//     with the time at which they take it (cold.go);
 //   - keys whose owner is full: only the requests of that owner wait.
 package pool
 
@@ -68,6 +71,7 @@
 	pauses         map[string]pause         // by target; kept while a target has no entry
 	notHeldUntil   map[uint64]time.Duration // by fence of keys that their owner did not hold: no request is sent before this time
 	ownerlessSince map[int]time.Duration    // by first key of a range: when it was first found without an owner
+	cold           coldTargets
 
 	emptySince      map[string]time.Duration  // by region: when it was first found without a target that accepts work
 	regionSchedules map[string]*retrySchedule // of an unkeyed service, by allowed regions
@@ -80,6 +84,7 @@
 		completedMoves: make(map[keyrange.ID]bool), notHeldUntil: make(map[uint64]time.Duration),
 		ownerlessSince: make(map[int]time.Duration), pauses: make(map[string]pause),
 		emptySince: make(map[string]time.Duration), regionSchedules: make(map[string]*retrySchedule),
+		cold: coldTargets{runs: make(map[coldRun]*coldRunState)},
 	}
 	p.serviceTime.reset(cfg.InitialServiceTime)
 	return p
@@ -98,7 +103,9 @@
 			p.targets[t.Owner.Target] = old
 		}
 		old.update(now, t)
+		p.observeCold(now, old)
 	}
+	p.cold.markSeen(now, len(targets))
 	for name, t := range p.targets {
 		if !seen[name] {
 			t.Leaving = true
@@ -198,6 +205,7 @@
 // waits.
 func (p *Pool) Arrive(now time.Duration, r Request) []Action {
 	p.now = now
+	p.cold.hasServed = true
 	if a, refused := p.refuseThinned(now, r); refused {
 		return []Action{a}
 	}
@@ -230,7 +238,8 @@
 // start before r.
 func (p *Pool) reservedFor(r Request) regionSet {
 	if p.cfg.Keyed {
-		return regionSet{} // pickTarget checks the key's owner; Tick starts requests in order
+		// pickTarget checks the key's owner; Tick starts requests in order.
+		return regionSet{all: p.hasEarlierForColdOwner(r)}
 	}
 	return p.claimedBefore(r)
 }
@@ -241,7 +250,7 @@
 	}
 	t.running++
 	t.recordStart(now, p.serviceTimeAt(t))
-	return Action{ID: r.ID, Start: true, Target: t.Owner, Fence: fence, Waited: now - r.Arrived}
+	return Action{ID: r.ID, Start: true, Target: t.Owner, Fence: fence, Waited: now - r.Arrived, Cold: t.recordColdSend(now)}
 }
 
 // serviceTimeAt returns the expected service time at a target that has a free
@@ -258,7 +267,7 @@
 func (p *Pool) pickTarget(now time.Duration, r Request, reserved regionSet) (*target, uint64, bool) {
 	if p.cfg.Keyed {
 		t, fence := p.ownerFor(r)
-		if t == nil || !t.hasRoom(now, p.cfg.BacklogFraction, p.hostCount) {
+		if t == nil || reserved.has(t) || !t.hasRoom(now, p.cfg.BacklogFraction, p.hostCount) {
 			return nil, 0, false
 		}
 		return t, fence, true
@@ -298,7 +307,7 @@
 	}
 	clear(p.waiting[len(kept):])
 	p.waiting = kept
-	return actions
+	return append(actions, p.refuseWaitingCold(now)...)
 }
 
 func (p *Pool) tryWaiting(now time.Duration, r Request, fullOwners map[*target]bool, full *regionSet) (Action, bool) {
--- a/admission/pool/refusal.go
+++ b/admission/pool/refusal.go
@@ -31,6 +31,9 @@
 	if a, refused := p.refuseIfPaused(now, r); refused {
 		return a, true
 	}
+	if a, refused := p.refuseIfCold(now, r); refused {
+		return a, true
+	}
 	wait := p.expectedWait(r)
 	if now+wait+p.serviceTime.value > r.latestAnswer() && now-r.Arrived < p.cfg.Cooldown {
 		if p.cfg.Keyed {
@@ -66,6 +69,9 @@
 
 // expectedWait estimates how long the request waits for the requests before it.
 func (p *Pool) expectedWait(r Request) time.Duration {
+	if wait, isCold := p.coldWait(r); isCold {
+		return wait
+	}
 	if p.cfg.Keyed {
 		t, _ := p.ownerFor(r)
 		if t == nil {
@@ -95,7 +101,7 @@
 			continue
 		}
 		if !t.Leaving && (t.Distance != Far || countsFar) && t.pausedFor(p.now) <= paused {
-			rate += t.serviceRate(p.cfg.BacklogFraction)
+			rate += p.rateOf(t)
 		}
 	}
 	return max(rate, 1)
--- a/admission/pool/regions.go
+++ b/admission/pool/regions.go
@@ -12,6 +12,12 @@
 	return len(r.Regions) == 0 || t.Region != "" && slices.Contains(r.Regions, t.Region)
 }
 
+// sharesRegion reports whether there may be a target that both requests may use.
+func (r *Request) sharesRegion(other Request) bool {
+	return len(r.Regions) == 0 || len(other.Regions) == 0 ||
+		slices.ContainsFunc(r.Regions, func(region string) bool { return slices.Contains(other.Regions, region) })
+}
+
 // regionSet is a set of regions, or all targets whether or not their region is known.
 type regionSet struct {
 	all     bool
@@ -188,7 +194,7 @@
 				part = p.capacityPart(r)
 			}
 			ahead += part
-		case slices.ContainsFunc(w.Regions, func(region string) bool { return slices.Contains(r.Regions, region) }):
+		case w.sharesRegion(r):
 			ahead++
 		}
 	}
@@ -203,7 +209,7 @@
 		if t.Leaving {
 			continue
 		}
-		rate := t.serviceRate(p.cfg.BacklogFraction)
+		rate := p.rateOf(t)
 		all += rate
 		if r.mayUse(t) {
 			own += rate
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -187,6 +187,7 @@
 		if !ok {
 			c.abandon("waiting")
 		}
+		c.node.counters.countCold(c.service.name, a)
 		if !a.Start {
 			c.refuse(string(a.Reason), a.RetryAfter)
 			return
@@ -230,10 +231,17 @@
 		// A request that must not run twice is not cancelled: it runs to its end.
 		sendCtx = context.WithoutCancel(ctx)
 	}
+	c.outbound.connectWithin = 0
+	if a.Cold {
+		c.outbound.connectWithin = coldConnectTime
+	}
 	t := c.node.exchange(sendCtx, c.outbound, a.Target, c.deadline-steadyClock())
 	c.service.finish(a, t.took, t.result, t.pause)
 	c.node.counters.countTry(t.result)
 	c.recordOutcome(a.Target, t)
+	if t.result == pool.Unreachable && isConnRefused(t.err) {
+		c.service.recordRefused(a.Target)
+	}
 	if t.pause > 0 {
 		c.node.counters.countPause()
 		c.node.log.EmitFields(evPaused, append(c.attemptFields(a, t), kernel.Int("pause_ms", ms(t.pause)))...)
