Reserve capacity for the more urgent requests of a service

59 hosts that learn late of each other's requests filled the queues of all targets in bursts of long, less urgent requests, and short urgent ones waited behind them. All hosts also chose the target that last looked best, and a target's service time was learned over all routes together.

Where the settings name places or pressure, and requests of several priorities arrive, the pool learns arrivals and work for each route, and keeps less urgent requests off the first targets of an order that is the same at all hosts. The slots are sized by what arrives. Less urgent requests that would be too late are refused on arrival (reserved), and callers return after the backlog, one after the other. A target is chosen by the route's own work with a draw.

--- a/admission/pool/pool.go
+++ b/admission/pool/pool.go
@@ -37,6 +37,7 @@
 	OwnerWait          time.Duration    // how long requests wait for an owner of their key, unless the key is moving to a new owner
 	OwnerLossDuration  time.Duration    // how long keys have no owner after their owner was lost
 	Cooldown           time.Duration    // time without new requests after a target shed one
+	ReserveUrgent      bool             // learn the work of each route, and reserve capacity for more urgent requests
 	AdmitPhase         float64          // initial admitCredit of the targets, 0 to 1; differs between hosts so that they do not admit in step
 }
 
@@ -60,6 +61,7 @@
 	waiting        []Request            // by priority, then arrival
 	serviceTime    smoothedDuration     // over all targets
 	retrySchedule  retrySchedule        // of an unkeyed service
+	urgency        *urgency             // nil without Config.ReserveUrgent
 
 	hostCount      int     // hosts that have requests for the targets; 0: not known
 	sheddingRate   float64 // smoothed fraction of requests shed although a slot seemed free, over all targets
@@ -75,7 +77,7 @@
 	p := &Pool{
 		cfg: cfg, targets: make(map[string]*target),
 		completedMoves: make(map[keyrange.ID]bool), notHeldUntil: make(map[uint64]time.Duration),
-		ownerlessSince: make(map[int]time.Duration), pauses: make(map[string]pause),
+		ownerlessSince: make(map[int]time.Duration), pauses: make(map[string]pause), urgency: newUrgency(cfg),
 	}
 	p.serviceTime.reset(cfg.InitialServiceTime)
 	return p
@@ -114,6 +116,7 @@
 		t.othersRunning = running[name]
 		t.hostShare = shares[name]
 	}
+	p.recordPart()
 }
 
 // SetAdmitFractions sets the fraction of the requests for the keys of each
@@ -193,6 +196,7 @@
 // waits.
 func (p *Pool) Arrive(now time.Duration, r Request) []Action {
 	p.now = now
+	p.recordArrival(now, r)
 	if a, refused := p.refuseThinned(now, r); refused {
 		return []Action{a}
 	}
@@ -235,7 +239,7 @@
 	}
 	t.running++
 	t.recordStart(now, p.serviceTimeAt(t))
-	return Action{ID: r.ID, Start: true, Target: t.Owner, Fence: fence, Waited: now - r.Arrived}
+	return Action{ID: r.ID, Start: true, Target: t.Owner, Fence: fence, Waited: now - r.Arrived, Route: r.Route}
 }
 
 // serviceTimeAt returns the expected service time at a target that has a free
@@ -252,18 +256,21 @@
 func (p *Pool) pickTarget(now time.Duration, r Request) (*target, uint64, bool) {
 	if p.cfg.Keyed {
 		t, fence := p.availableOwner(r.Key)
-		if t == nil || !t.hasRoom(now, p.cfg.BacklogFraction, p.hostCount) {
+		if t == nil || !t.hasRoom(now, p.cfg.BacklogFraction, p.hostCount) || !p.mayUse(now, t, r) {
 			return nil, 0, false
 		}
 		return t, fence, true
 	}
+	if p.exceedsPart(now, r) {
+		return nil, 0, false
+	}
 	var best *target
 	bestCost := math.Inf(1)
 	for _, t := range p.targets {
-		if t.Leaving || !t.hasRoom(now, p.cfg.BacklogFraction, 0) || slices.Contains(r.TriedTargets, t.Owner.Target) {
+		if t.Leaving || !t.hasRoom(now, p.cfg.BacklogFraction, 0) || slices.Contains(r.TriedTargets, t.Owner.Target) || !p.mayUse(now, t, r) {
 			continue
 		}
-		cost := t.expectedCost(now, p.cfg)
+		cost := p.costAt(now, t, r)
 		if cost < bestCost || cost == bestCost && t.Owner.Target < best.Owner.Target {
 			best, bestCost = t, cost
 		}
@@ -315,6 +322,9 @@
 	case len(r.TriedTargets) == 0:
 		*noRoom = true
 	}
+	if a, refused := p.refuseHopeless(now, r); refused {
+		return a, true
+	}
 	return p.refuseIfPaused(now, r)
 }
 
--- a/admission/pool/pool_test.go
+++ b/admission/pool/pool_test.go
@@ -29,6 +29,10 @@
 func newKeyedPool(targets ...pool.Target) *pool.Pool {
 	cfg := pool.DefaultConfig
 	cfg.Keyed = true
+	return newKeyedPoolOf(cfg, targets...)
+}
+
+func newKeyedPoolOf(cfg pool.Config, targets ...pool.Target) *pool.Pool {
 	p := pool.New(cfg)
 	p.SetTargets(0, targets)
 	var owners []keyrange.Owner
--- a/admission/pool/refusal.go
+++ b/admission/pool/refusal.go
@@ -28,8 +28,15 @@
 	if a, refused := p.refuseIfPaused(now, r); refused {
 		return a, true
 	}
+	isNew := now-r.Arrived < p.cfg.Cooldown
+	if p.urgency.isActive() && !p.cfg.Keyed {
+		if !isNew {
+			return Action{}, false
+		}
+		return p.refuseByRoute(now, r)
+	}
 	wait := p.expectedWait(r)
-	if now+wait+p.serviceTime.value > r.latestAnswer() && now-r.Arrived < p.cfg.Cooldown {
+	if now+wait+p.expectedTime(r) > r.latestAnswer() && isNew {
 		if p.cfg.Keyed {
 			t, _ := p.availableOwner(r.Key)
 			t.refusedFull++
@@ -68,13 +75,17 @@
 		if t == nil {
 			return p.cfg.OwnerWait
 		}
-		ahead := 1
+		ahead := p.relativeWork(r)
 		for _, w := range p.waiting {
 			if o, _ := p.availableOwner(w.Key); o == t && compareRequests(w, r) < 0 {
-				ahead++
+				ahead += p.relativeWork(w)
 			}
 		}
-		return t.pausedFor(p.now) + time.Duration(float64(ahead)/t.serviceRate(p.cfg.BacklogFraction)*float64(time.Second))
+		return t.pausedFor(p.now) + time.Duration(ahead/t.serviceRate(p.cfg.BacklogFraction)*float64(time.Second))
+	}
+	if p.urgency.isActive() {
+		wait, _ := p.expectedWaitByRoute(r)
+		return wait
 	}
 	ahead := 1
 	for _, w := range p.waiting {
--- a/admission/pool/target.go
+++ b/admission/pool/target.go
@@ -68,10 +68,16 @@
 	coolUntil           time.Duration    // no request is sent before this time
 	coldUntil           time.Duration
 	pausedUntil         time.Duration // the target wants no request from this host before this time
+
+	nameHash         uint64
+	reserveRank      float64          // place in the order in which targets are reserved, from 0 to 1
+	slotsBefore      float64          // slots of the targets before it in that order
+	slowness         smoothedDuration // time of requests as a multiple of their work: a second is 1
+	unloadedSlowness smoothedDuration // of requests that found a free slot
 }
 
 func newTarget(t Target, initialServiceTime time.Duration) *target {
-	created := &target{Target: t, window: float64(max(1, t.Slots))}
+	created := &target{Target: t, window: float64(max(1, t.Slots)), nameHash: hashOf(t.Owner.Target)}
 	created.serviceTime.reset(initialServiceTime)
 	created.unloadedServiceTime.reset(initialServiceTime)
 	return created
--- a/admission/pool/types.go
+++ b/admission/pool/types.go
@@ -26,13 +26,16 @@
 	Leaving  bool          // accepts no new work
 	ColdFor  time.Duration // remaining time during which it is slow after its start
 	Limit    int           // maximum number of concurrent requests of this host: its share of connections; 0: no limit
+
+	DataCentre string // reserved targets are spread over the data centres
 }
 
 // Request is a request that waits for a target.
 type Request struct {
 	ID           uint64
-	Key          int // key of a request to a keyed service
-	Priority     int // 0 is the most urgent
+	Key          int    // key of a request to a keyed service
+	Priority     int    // 0 is the most urgent
+	Route        string // name of the route, whose requests are alike
 	Arrived      time.Duration
 	Goal         time.Duration // time by which the answer has its full value
 	Deadline     time.Duration // time from which an answer is of no use
@@ -61,6 +64,9 @@
 	// Paused means that the targets that could run the request asked for a pause
 	// that lasts too long for a useful answer.
 	Paused Reason = "paused"
+	// Reserved means that the request would wait too long for a useful answer
+	// because capacity is reserved for more urgent requests.
+	Reserved Reason = "reserved"
 	// Displaced means that a more urgent request took the place of this one.
 	Displaced Reason = "displaced"
 )
@@ -74,6 +80,7 @@
 	Waited     time.Duration
 	Reason     Reason        // of a refusal
 	RetryAfter time.Duration // of a refusal: when there will be room
+	Route      string        // with Start: route of the request
 }
 
 // Result describes how a request at a target ended.
--- a/internal/entry/events.go
+++ b/internal/entry/events.go
@@ -28,6 +28,8 @@
 
 	evLeaving = kernel.RegisterEvent(6016, hclog.Info, "target says that it is leaving")
 
+	evReserve = kernel.RegisterEvent(6023, hclog.Info, "capacity reserved for more urgent requests begins or ends")
+
 	evAnswered = kernel.RegisterEvent(6100, hclog.Info, "request answered by a target")
 	evRefused  = kernel.RegisterEvent(6101, hclog.Info, "request refused: not run")
 	evUnknown  = kernel.RegisterEvent(6102, hclog.Warn, "request ended without an answer: it may have run")
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -188,6 +188,9 @@
 			c.abandon("waiting")
 		}
 		if !a.Start {
+			if a.Reason == pool.Reserved {
+				c.node.counters.countReserved(c.service.name)
+			}
 			c.refuse(string(a.Reason), a.RetryAfter)
 			return
 		}
@@ -218,7 +221,7 @@
 
 func (c *call) poolRequest(notBefore time.Duration) pool.Request {
 	return pool.Request{
-		ID: c.number, Key: c.Key, Priority: c.route.Priority, Arrived: c.arrived,
+		ID: c.number, Key: c.Key, Priority: c.route.Priority, Route: c.route.Name, Arrived: c.arrived,
 		Goal: c.arrived + c.route.LatencyGoal, Deadline: c.deadline, TriedTargets: c.triedTargets, NotBefore: notBefore,
 	}
 }
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -73,6 +73,10 @@
 	c.set.GetOrCreateCounter(`mangopost_entry_pauses_total`).Inc()
 }
 
+func (c *counters) countReserved(service string) {
+	c.set.GetOrCreateCounter(fmt.Sprintf(`mangopost_entry_refused_reserved_total{service=%q}`, service)).Inc()
+}
+
 func (c *counters) countQuarantined() {
 	c.set.GetOrCreateCounter(`mangopost_entry_requests_quarantined_total`).Inc()
 }
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -176,6 +176,7 @@
 			n.conns.closeExpired()
 			n.tickDirectory()
 			n.quarantine.forgetOld()
+			n.logReserves()
 			if now := n.isReady(); now != ready {
 				ready = now
 				n.log.Emit(evReady, "ready", ready)
@@ -252,7 +253,7 @@
 	}
 	for name, s := range t.Services {
 		if old := n.services[name]; old == nil || old.keyed != s.Keyed {
-			n.services[name] = newService(s, n.newRetryBudget(), hashFraction(n.settings.Load().Host), n.guard)
+			n.services[name] = newService(s, n.newRetryBudget(), hashFraction(n.settings.Load().Host), n.reservesUrgent(), n.guard)
 		}
 	}
 	n.table.Store(t)
@@ -263,6 +264,22 @@
 	}
 }
 
+// reservesUrgent reports whether capacity is reserved for urgent requests: where callers
+// compete for too little of it.
+func (n *Node) reservesUrgent() bool {
+	s := n.settings.Load()
+	return s.HasContract(platform.ContractPlaces) || s.HasContract(platform.ContractPressure)
+}
+
+// logReserves logs where capacity begins or ends to be reserved for more urgent requests.
+func (n *Node) logReserves() {
+	for name, s := range n.allServices() {
+		if slots, changed := s.reserveChange(); changed {
+			n.log.Emit(evReserve, "service", name, "active", slots > 0, "slots", int(slots))
+		}
+	}
+}
+
 // newRetryBudget returns this host's share of the common retry budget.
 func (n *Node) newRetryBudget() *routing.SlidingBudget {
 	b := n.settings.Load().Bounds
@@ -311,6 +328,8 @@
 			Leaving:  e.Leaving,
 			ColdFor:  e.ColdFor,
 			Limit:    limit,
+
+			DataCentre: e.DataCentre,
 		})
 	}
 	return out
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -28,11 +28,14 @@
 	reportCount int         // reports so far; one in reportsPerRequestTimes includes request times
 	budget      *routing.SlidingBudget
 	timer       *time.Timer // runs while requests wait
+	isReserving bool        // capacity is reserved for more urgent requests, as last logged
 }
 
-func newService(s routing.Service, budget *routing.SlidingBudget, phase float64, guard func(string, func())) *service {
+// newService returns a service without targets. With reserveUrgent, capacity is reserved
+// for its more urgent requests.
+func newService(s routing.Service, budget *routing.SlidingBudget, phase float64, reserveUrgent bool, guard func(string, func())) *service {
 	cfg := pool.DefaultConfig
-	cfg.Keyed, cfg.AdmitPhase = s.Keyed, phase
+	cfg.Keyed, cfg.AdmitPhase, cfg.ReserveUrgent = s.Keyed, phase, reserveUrgent
 	return &service{
 		name:     s.Name,
 		keyed:    s.Keyed,
@@ -125,10 +128,22 @@
 		} else {
 			p.RecordHeld(a.Fence)
 		}
+		p.RecordWork(a, took, result)
 		p.Finish(steadyClock(), a.Target, took, result)
 	})
 }
 
+// reserveChange returns the slots that are reserved for more urgent requests, and whether
+// the reserve began or ended since the last call.
+func (s *service) reserveChange() (slots float64, changed bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	slots = s.pool.ReservedSlots(steadyClock())
+	changed = s.isReserving != (slots > 0)
+	s.isReserving = slots > 0
+	return slots, changed
+}
+
 // pausedFor returns how much longer the targets that could run a request want none.
 func (s *service) pausedFor(key int) time.Duration {
 	s.mu.Lock()
