--- a/admission/pool/refusal.go
+++ b/admission/pool/refusal.go
@@ -34,8 +34,15 @@
 	if a, refused := p.refuseIfCold(now, r); refused {
 		return a, true
 	}
+	isNew := now-r.Arrived < p.cfg.Cooldown
+	if p.urgency.isActive() && !p.cfg.Keyed {
+		if !isNew {
+			return Action{}, false
+		}
+		return p.refuseByRoute(now, r)
+	}
 	wait := p.expectedWait(r)
-	if now+wait+p.serviceTime.value > r.latestAnswer() && now-r.Arrived < p.cfg.Cooldown {
+	if now+wait+p.expectedTime(r) > r.latestAnswer() && isNew {
 		if p.cfg.Keyed {
 			t, _ := p.ownerFor(r)
 			t.refusedFull++
@@ -77,13 +84,17 @@
 		if t == nil {
 			return p.cfg.OwnerWait
 		}
-		ahead := 1
+		ahead := p.relativeWork(r)
 		for _, w := range p.waiting {
 			if o, _ := p.ownerFor(w); o == t && compareRequests(w, r) < 0 {
-				ahead++
+				ahead += p.relativeWork(w)
 			}
 		}
-		return t.pausedFor(p.now) + time.Duration(float64(ahead)/t.serviceRate(p.cfg.BacklogFraction)*float64(time.Second))
+		return t.pausedFor(p.now) + time.Duration(ahead/t.serviceRate(p.cfg.BacklogFraction)*float64(time.Second))
+	}
+	if p.urgency.isActive() {
+		wait, _ := p.expectedWaitByRoute(r)
+		return wait
 	}
 	wait := p.allPausedFor(p.now, r, regionSet{}) + p.timeFor(p.requestsAhead(r), r, regionSet{})
 	return p.shortestWait(r, wait)
--- a/internal/entry/events.go
+++ b/internal/entry/events.go
@@ -28,8 +28,9 @@
 
 	evLeaving = kernel.RegisterEvent(6016, hclog.Info, "target says that it is leaving")
 
-	evCold = kernel.RegisterEvent(6020, hclog.Info, "target counts as cold: its requests are limited")
-	evWarm = kernel.RegisterEvent(6021, hclog.Info, "target counts as warm again")
+	evCold    = kernel.RegisterEvent(6020, hclog.Info, "target counts as cold: its requests are limited")
+	evWarm    = kernel.RegisterEvent(6021, hclog.Info, "target counts as warm again")
+	evReserve = kernel.RegisterEvent(6023, hclog.Info, "capacity reserved for more urgent requests begins or ends")
 
 	evAnswered = kernel.RegisterEvent(6100, hclog.Info, "request answered by a target")
 	evRefused  = kernel.RegisterEvent(6101, hclog.Info, "request refused: not run")
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -189,6 +189,9 @@
 		}
 		c.node.counters.countCold(c.service.name, a)
 		if !a.Start {
+			if a.Reason == pool.Reserved {
+				c.node.counters.countReserved(c.service.name)
+			}
 			c.refuse(string(a.Reason), a.RetryAfter)
 			return
 		}
@@ -219,7 +222,7 @@
 
 func (c *call) poolRequest(notBefore time.Duration) pool.Request {
 	return pool.Request{
-		ID: c.number, Key: c.Key, Priority: c.route.Priority, Arrived: c.arrived,
+		ID: c.number, Key: c.Key, Priority: c.route.Priority, Route: c.route.Name, Arrived: c.arrived,
 		Goal: c.arrived + c.route.LatencyGoal, Deadline: c.deadline, TriedTargets: c.triedTargets, NotBefore: notBefore,
 		Regions: c.route.Regions,
 	}
