--- a/docs/layers_test.go
+++ b/docs/layers_test.go
@@ -17,7 +17,7 @@
 // decisionPackages do no I/O, start no goroutine and read no clock.
 var decisionPackages = []string{
 	"lease", "ownership", "membership", "placement", "admission", "dedup",
-	"routing", "template", "maintenance", "finding", "finding/tomldoc",
+	"routing", "routing/crossing", "template", "maintenance", "finding", "finding/tomldoc",
 	"lease/coordinator", "ownership/keyrange", "ownership/grants", "placement/hotrange", "placement/demand",
 	"admission/pool", "admission/coldstart", "membership/directory", "membership/mirror", "membership/aggregators",
 }
--- a/routing/linkbudget.go
+++ b/routing/linkbudget.go
@@ -45,14 +45,19 @@
 	OptionalFraction float64
 }
 
-// LinkBytesPerSecond is the capacity of the link between the regions:
-// 30 Mbit/s in each direction, in bytes per second.
+// LinkBytesPerSecond is the capacity of the link between the regions where none is
+// configured: 30 Mbit/s in each direction, in bytes per second.
 const LinkBytesPerSecond = 30e6 / 8
 
-// LinkShare returns the configuration for one of a region's hosts.
-func LinkShare(hosts int) LinkConfig {
+// LinkShare returns the configuration for one of a region's hosts, for a link of
+// LinkBytesPerSecond.
+func LinkShare(hosts int) LinkConfig { return LinkShareOf(LinkBytesPerSecond, hosts) }
+
+// LinkShareOf returns the configuration for one of a region's hosts, for a link of the
+// given capacity in bytes per second and direction.
+func LinkShareOf(bytesPerSecond float64, hosts int) LinkConfig {
 	return LinkConfig{
-		BytesPerSecond:   LinkBytesPerSecond / float64(max(hosts, 1)),
+		BytesPerSecond:   bytesPerSecond / float64(max(hosts, 1)),
 		Burst:            time.Second,
 		OptionalFraction: 0.5,
 	}
