admission/pool: learned costs of leaving the data centre

Cause: with fixed penalties a request is started in another region as soon as the targets nearby have no room for a moment, and hosts that judge the room by reports 0.4 to 0.8 s old fill the targets together.

Change: Config.Crossing.Learned. The nearest place is used first, up to this host's part of its capacity while that is scarce; a request that finds no room there waits, leaves if the comparison of routing/crossing says so and it is its turn, or is refused at once if the wait, with a margin, is too long. Waiting requests leave the targets elsewhere to those whose goal is near. Allowed regions, cold targets and reserved targets are asked before. Without Learned the code path and the decisions are those of before; actions also say the distance and the reason. In routing/crossing: a margin for the error of estimates, a host's part is at least even among the hosts of its data centre, the first request of a route may leave at once, Link is safe for concurrent use.

--- a/admission/pool/bench_test.go
+++ b/admission/pool/bench_test.go
@@ -11,14 +11,17 @@
 // BenchmarkDecision measures a decision among 67 targets, with and without reserved
 // capacity: hosts have a fraction of a core.
 func BenchmarkDecision(b *testing.B) {
-	for _, reserve := range []bool{false, true} {
-		b.Run(fmt.Sprintf("reserve=%v", reserve), func(b *testing.B) {
+	for _, mode := range []struct{ reserve, learned bool }{{false, false}, {true, false}, {false, true}, {true, true}} {
+		b.Run(fmt.Sprintf("reserve=%v,learned=%v", mode.reserve, mode.learned), func(b *testing.B) {
 			cfg := pool.DefaultConfig
-			cfg.ReserveUrgent = reserve
+			cfg.ReserveUrgent = mode.reserve
+			if mode.learned {
+				learnCrossing(59)(&cfg)
+			}
 			p := pool.New(cfg)
 			var targets []pool.Target
 			for i := range 67 {
-				targets = append(targets, target(fmt.Sprint(i), 6, pool.SameRegion))
+				targets = append(targets, target(fmt.Sprint(i), 6, pool.Distance(i%3)))
 			}
 			p.SetTargets(0, targets)
 			p.SetHostCount(59)
@@ -29,6 +32,7 @@
 					r = lessUrgentRequest(id, now)
 				}
 				for _, a := range p.Arrive(now, r) {
+					p.RecordCrossing(now, a, 100*ms, 3000, pool.Answered)
 					p.RecordWork(a, 100*ms, pool.Answered)
 					p.Finish(now, a.Target, 100*ms, pool.Answered)
 				}
--- a/admission/pool/pool.go
+++ b/admission/pool/pool.go
@@ -40,6 +40,7 @@
 	OwnerWait          time.Duration    // how long requests wait for an owner of their key, unless the key is moving to a new owner
 	OwnerLossDuration  time.Duration    // how long keys have no owner after their owner was lost
 	Cooldown           time.Duration    // time without new requests after a target shed one
+	Crossing           CrossingConfig   // when requests leave the data centre
 	ReserveUrgent      bool             // learn the work of each route, and reserve capacity for more urgent requests
 	AdmitPhase         float64          // initial admitCredit of the targets, 0 to 1; differs between hosts so that they do not admit in step
 }
@@ -65,6 +66,7 @@
 	serviceTime    smoothedDuration     // over all targets
 	retrySchedule  retrySchedule        // of an unkeyed service
 	urgency        *urgency             // nil without Config.ReserveUrgent
+	crossings      *crossings           // nil without Config.Crossing.Learned
 
 	hostCount      int     // hosts that have requests for the targets; 0: not known
 	sheddingRate   float64 // smoothed fraction of requests shed although a slot seemed free, over all targets
@@ -81,11 +83,14 @@
 
 // New returns a pool without targets.
 func New(cfg Config) *Pool {
+	if cfg.Crossing.Learned {
+		cfg.DistancePenalty = [3]time.Duration{}
+	}
 	p := &Pool{
 		cfg: cfg, targets: make(map[string]*target),
 		completedMoves: make(map[keyrange.ID]bool), notHeldUntil: make(map[uint64]time.Duration),
 		ownerlessSince: make(map[int]time.Duration), pauses: make(map[string]pause), urgency: newUrgency(cfg),
-		emptySince: make(map[string]time.Duration), regionSchedules: make(map[string]*retrySchedule),
+		crossings: newCrossings(cfg), emptySince: make(map[string]time.Duration), regionSchedules: make(map[string]*retrySchedule),
 		cold: coldTargets{runs: make(map[coldRun]*coldRunState)},
 	}
 	p.serviceTime.reset(cfg.InitialServiceTime)
@@ -117,6 +122,7 @@
 		}
 	}
 	p.forgetAbsences()
+	p.observePlaces(now)
 }
 
 // SetOtherHostsLoad sets the number of requests that all other hosts run at
@@ -125,10 +131,11 @@
 // request runs for that fraction of the time.
 func (p *Pool) SetOtherHostsLoad(running, shares map[string]float64) {
 	for name, t := range p.targets {
-		t.othersRunning = running[name]
+		t.recordOthers(running[name])
 		t.hostShare = shares[name]
 	}
 	p.recordPart()
+	p.observeReport()
 }
 
 // SetAdmitFractions sets the fraction of the requests for the keys of each
@@ -210,6 +217,7 @@
 	p.now = now
 	p.cold.hasServed = true
 	p.recordArrival(now, r)
+	p.countCrossingArrival(now, r)
 	if a, refused := p.refuseThinned(now, r); refused {
 		return []Action{a}
 	}
@@ -224,6 +232,7 @@
 	if a, refused := p.refuseIfTooLate(now, r); refused {
 		return []Action{a}
 	}
+	r.wantsAway = p.crossings.takeWants()
 	i, _ := slices.BinarySearchFunc(p.waiting, r, compareRequests)
 	p.waiting = slices.Insert(p.waiting, i, r)
 	if len(p.waiting) <= p.cfg.MaxWaiting {
@@ -254,8 +263,10 @@
 	}
 	t.running++
 	t.recordStart(now, p.serviceTimeAt(t))
+	p.recordCrossingStart(now, t, r)
 	return Action{
 		ID: r.ID, Start: true, Target: t.Owner, Fence: fence, Waited: now - r.Arrived, Cold: t.recordColdSend(now), Route: r.Route,
+		Distance: t.Distance, CrossReason: p.crossReason(t, r),
 	}
 }
 
@@ -281,6 +292,9 @@
 	if p.exceedsPart(now, r) {
 		return nil, 0, false
 	}
+	if p.crossings != nil {
+		return p.pickByPlace(now, r, reserved)
+	}
 	var best *target
 	bestCost := math.Inf(1)
 	for _, t := range p.targets {
@@ -303,6 +317,7 @@
 // while requests wait.
 func (p *Pool) Tick(now time.Duration) []Action {
 	p.now = now
+	p.crossings.beginTick()
 	var actions []Action
 	kept := p.waiting[:0]
 	fullOwners := make(map[*target]bool)
@@ -312,6 +327,7 @@
 			actions = append(actions, a)
 			continue
 		}
+		r.wantsAway |= p.crossings.takeWants()
 		kept = append(kept, r)
 	}
 	clear(p.waiting[len(kept):])
@@ -330,7 +346,7 @@
 	if p.cfg.Keyed {
 		owner, _ = p.ownerFor(r)
 	}
-	if now < r.NotBefore || full.covers(r) || fullOwners[owner] {
+	if now < r.NotBefore || full.covers(r) && !p.isPressed(now, r) || fullOwners[owner] {
 		return Action{}, false
 	}
 	t, fence, ok := p.pickTarget(now, r, regionSet{})
--- a/admission/pool/pool_test.go
+++ b/admission/pool/pool_test.go
@@ -453,5 +453,11 @@
 	if rapid.Bool().Draw(t, "keyed") {
 		return newKeyedPool(targets...)
 	}
-	return newUnkeyedPool(targets...)
+	cfg := pool.DefaultConfig
+	if rapid.Bool().Draw(t, "learned") {
+		learnCrossing(2)(&cfg)
+	}
+	p := pool.New(cfg)
+	p.SetTargets(0, targets)
+	return p
 }
--- a/admission/pool/refusal.go
+++ b/admission/pool/refusal.go
@@ -41,7 +41,7 @@
 		}
 		return p.refuseByRoute(now, r)
 	}
-	wait := p.expectedWait(r)
+	wait := max(p.expectedWait(r), p.nearestWait(now))
 	if now+wait+p.expectedTime(r) > r.latestAnswer() && isNew {
 		if p.cfg.Keyed {
 			t, _ := p.ownerFor(r)
--- a/admission/pool/regions_test.go
+++ b/admission/pool/regions_test.go
@@ -235,12 +235,16 @@
 	rapid.Check(t, func(t *rapid.T) {
 		cfg := pool.DefaultConfig
 		cfg.Keyed = rapid.Bool().Draw(t, "keyed")
+		if rapid.Bool().Draw(t, "learned") {
+			learnCrossing(2)(&cfg)
+		}
 		p := pool.New(cfg)
 		regionOf, requests, running := make(map[string]string), make(map[uint64]pool.Request), make(map[uint64]pool.Action)
 		setTargets := func(now time.Duration) {
 			var targets []pool.Target
 			for i := range 4 {
 				next := inRegion(fmt.Sprint(i), rapid.IntRange(1, 3).Draw(t, "slots"), rapid.SampledFrom(regions).Draw(t, "region"))
+				next.Distance = pool.Distance(i % 3)
 				next.Leaving = rapid.IntRange(0, 4).Draw(t, "leaving") == 0
 				if rapid.IntRange(0, 4).Draw(t, "gone") > 0 {
 					targets = append(targets, next)
--- a/admission/pool/simulation_test.go
+++ b/admission/pool/simulation_test.go
@@ -30,6 +30,7 @@
 	duration       time.Duration
 	routes         []simRoute
 	configure      func(*pool.Config)
+	pickHost       func(r *rand.Rand) int                          // of an arriving request; nil: each with the same probability
 	onAnswer       func(p *pool.Pool, a pool.Action, load simLoad) // at the host, before Finish
 
 	now     time.Duration
@@ -53,6 +54,7 @@
 	simReportDelay  = 250 * ms // through the aggregator and the coordinator
 	simWarmUp       = 3 * time.Second
 	simMaxTries     = 3
+	simBytes        = 3000 // of a request and its answer
 )
 
 var simSpeeds = [...]float64{0.6, 1, 1.4}
@@ -82,6 +84,7 @@
 	arrived, inTime, late, refused int
 	refusedAfter                   []time.Duration // Retry-After of the refusals
 	took                           time.Duration
+	sent                           [3]int // by distance of the target
 }
 
 func (r *simResult) goodShare() float64 { return float64(r.inTime) / float64(max(1, r.arrived)) }
@@ -206,7 +209,7 @@
 		return
 	}
 	s.lastID++
-	h := s.rand.IntN(s.hosts)
+	h := s.arrivalHost()
 	req := &simRequest{route: r, host: h, Request: pool.Request{
 		ID: s.lastID, Priority: r.priority, Route: r.name, Arrived: s.now, Goal: s.now + r.goal, Deadline: s.now + r.deadline,
 	}}
@@ -216,6 +219,13 @@
 	s.submit(req)
 }
 
+func (s *simulation) arrivalHost() int {
+	if s.pickHost != nil {
+		return s.pickHost(s.rand)
+	}
+	return s.rand.IntN(s.hosts)
+}
+
 func (s *simulation) submit(req *simRequest) {
 	s.waiting[req.host][req.ID] = req
 	s.apply(req.host, s.pools[req.host].Arrive(s.now, req.Request))
@@ -228,6 +238,7 @@
 		if a.Start {
 			t := s.byName[a.Target.Target]
 			sent := s.now
+			s.countSent(req, a.Distance)
 			s.after(oneWay(h, t.index), func() { s.reach(t, req, a, sent) })
 		} else if req.Arrived > simWarmUp {
 			s.results[req.route.name].refused++
@@ -236,6 +247,12 @@
 	}
 }
 
+func (s *simulation) countSent(req *simRequest, d pool.Distance) {
+	if req.Arrived > simWarmUp {
+		s.results[req.route.name].sent[d]++
+	}
+}
+
 // reach handles a request that arrives at a target.
 func (s *simulation) reach(t *simTarget, req *simRequest, a pool.Action, sent time.Duration) {
 	run := func() {
@@ -298,6 +315,7 @@
 	if s.onAnswer != nil {
 		s.onAnswer(p, a, load)
 	}
+	p.RecordCrossing(s.now, a, s.now-sent, simBytes, result)
 	p.RecordWork(a, s.now-sent, result)
 	p.Finish(s.now, a.Target, s.now-sent, result)
 	counted := s.results[req.route.name]
--- a/admission/pool/target.go
+++ b/admission/pool/target.go
@@ -75,6 +75,8 @@
 	slotsBefore      float64          // slots of the targets before it in that order
 	slowness         smoothedDuration // time of requests as a multiple of their work: a second is 1
 	unloadedSlowness smoothedDuration // of requests that found a free slot
+
+	othersMean float64 // othersRunning, averaged over the last reports
 }
 
 func newTarget(t Target, initialServiceTime time.Duration) *target {
--- a/admission/pool/types.go
+++ b/admission/pool/types.go
@@ -44,6 +44,8 @@
 	TriedTargets []string      // targets that the request was already sent to
 	NotBefore    time.Duration // earliest time at which the request may be sent
 	Regions      []string      // regions whose targets may run the request; empty: all targets may
+
+	wantsAway uint8 // places for which the request was counted as one that should leave, as bits
 }
 
 // Reason is the reason why a request was refused.
@@ -88,6 +90,9 @@
 	Reason     Reason        // of a refusal
 	RetryAfter time.Duration // of a refusal: when there will be room
 	Route      string        // with Start: route of the request
+
+	Distance    Distance    // with Start: of the target
+	CrossReason CrossReason // with Start: why the target is at that distance
 }
 
 // Result describes how a request at a target ended.
--- a/routing/crossing/crossing.go
+++ b/routing/crossing/crossing.go
@@ -1,6 +1,6 @@
 // Package crossing decides whether a request leaves the data centre of its host, and
 // which share of a route's requests does. It is pure: observations and the current time
-// go in, decisions come out. Its types are not safe for concurrent use.
+// go in, decisions come out. Its types other than Link are not safe for concurrent use.
 //
 // The rule is one comparison. A request may leave if the marginal gain to its caller
 // exceeds the marginal cost:
@@ -59,6 +59,9 @@
 	// ReferenceGoal is the goal for which prices are given. Work with a later goal needs
 	// a proportionally larger gain, because it can wait longer.
 	ReferenceGoal = 250 * time.Millisecond
+	// estimateError is the difference of two values below which it is no gain: the best of
+	// several uncertain expected times looks better than it is.
+	estimateError = 0.1
 	// ageSpread is the standard deviation that is added to an expected time for each
 	// second of the age of what is known about the place: loads change within a second.
 	ageSpread = 0.1
@@ -114,7 +117,7 @@
 func Compare(w Work, here, there Offer, price time.Duration, pressure float64) Verdict {
 	goal := max(w.Goal, time.Millisecond).Seconds()
 	room := min(1, there.Free*math.Exp(-there.Age.Seconds()/knowledgeAge.Seconds()))
-	gain := room*value(w, there) - value(w, here)
+	gain := room*value(w, there) - value(w, here) - estimateError
 	gain += TimeWeight * min(1, (here.Expected-there.Expected).Seconds()/goal)
 	return Verdict{Gain: gain, Cost: w.Bytes / 1000 * price.Seconds() / ReferenceGoal.Seconds() * (1 + pressure)}
 }
--- a/routing/crossing/part.go
+++ b/routing/crossing/part.go
@@ -10,14 +10,12 @@
 	// partFrom is the part of the capacity that must be in use for the host's part to
 	// count. Below, there is room for every host.
 	partFrom = 0.7
-	// minEvenPart is the least part of a host, as a fraction of an even share, so that a
-	// host whose callers come later gets some of the capacity.
-	minEvenPart = 0.25
 )
 
 // Part is the part of the capacity at home that this host uses: in proportion to what it
-// runs there, so that the parts of all hosts add up to the capacity. It depends on what
-// the others run only through an average, and on what this host runs at once.
+// runs there, and at least an even share among the hosts of the data centre, which what
+// others send from elsewhere does not reduce. It depends on what the others run only
+// through an average, and on what this host runs at once.
 type Part struct {
 	phase              float64
 	own, all, capacity float64
@@ -29,7 +27,7 @@
 func NewPart(phase float64) Part { return Part{phase: phase} }
 
 // Report records what this host and the others run at home, the requests that may be there
-// at once, and the number of hosts that share the capacity.
+// at once, and the number of hosts of the data centre.
 func (p *Part) Report(own, others, capacity float64, hosts int) {
 	weight := partWeight
 	if p.capacity == 0 {
@@ -48,7 +46,7 @@
 	if !p.IsScarce() {
 		return math.Inf(1)
 	}
-	return p.capacity * max(p.own/p.all, minEvenPart/float64(p.hosts))
+	return p.capacity * max(p.own/p.all, 1/float64(p.hosts))
 }
 
 // Allows reports whether this host may run one more request at home.
--- a/routing/crossing/share.go
+++ b/routing/crossing/share.go
@@ -94,7 +94,7 @@
 
 func (s *Share) advance(now time.Duration) {
 	if !s.started {
-		s.started, s.at, s.credit = true, now, s.phase
+		s.started, s.at, s.credit = true, now, 1+s.phase
 	}
 	if now <= s.at {
 		return
@@ -111,7 +111,9 @@
 		s.share = max(wanted, s.share-fallPerSecond*rate*elapsed)
 	}
 	if s.share < minShare && wanted < minShare {
-		s.share = 0
+		// The first request may leave at once: a route with few requests has no share to
+		// speak of.
+		s.share, s.credit = 0, max(s.credit, 1)
 	}
 }
 
