--- a/membership/directory/directory.go
+++ b/membership/directory/directory.go
@@ -9,6 +9,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -43,6 +44,7 @@
 	entries    map[string]Entry
 	expired    map[string]bool        // entries that are missing since the store returned
 	leaving    map[string]leavingMark // targets that said in answers that they are leaving
+	sightings  map[string]sighting    // of the entries
 	answeredAt time.Duration          // time of the last answer from the store
 	returnedAt time.Duration          // time at which the store last returned, 0 if never
 	hasAnswer  bool                   // whether the store has answered
@@ -52,7 +54,7 @@
 func New(timing Timing) *Directory {
 	return &Directory{
 		timing: timing, entries: make(map[string]Entry),
-		expired: make(map[string]bool), leaving: make(map[string]leavingMark),
+		expired: make(map[string]bool), leaving: make(map[string]leavingMark), sightings: make(map[string]sighting),
 	}
 }
 
@@ -110,6 +112,7 @@
 func (d *Directory) delete(name string) {
 	delete(d.entries, name)
 	delete(d.expired, name)
+	delete(d.sightings, name)
 }
 
 // mayReturn reports whether entries may be missing because the store was
@@ -156,5 +159,8 @@
 	return out
 }
 
+// All returns the entries of all targets as they are in the store, in no order.
+func (d *Directory) All() []Entry { return slices.Collect(maps.Values(d.entries)) }
+
 // Len returns the number of targets.
 func (d *Directory) Len() int { return len(d.entries) }
