Evacuated data centres get no requests, grants or keys

A change of a target's cold time was not relayed, and one that was applied again made the target cold again.

Change: where the settings name the contract `places`, a fourth feed follows evacuations/ and is relayed like the others. While a data centre is evacuated its targets count as leaving in the pools and are no targets of the plan, so that their keys move by release and hand-over at once; no grant is sent there. The directory is not marked, so that nothing about holds, fences and ends of targets changes. Hosts are not ready, and coordinators plan nothing, before the feed was listed. Requests are refused at once if all data centres of their service are evacuated, and wait for the move of an evacuated key as for any other move. At the end targets may be cold until they have written an entry. Where a service has a ColdRate, a turn or growth of an entry's cold time is relayed and counts from the earliest sight of the entry.

--- a/admission/pool/owners.go
+++ b/admission/pool/owners.go
@@ -87,7 +87,7 @@
 		since = now
 		p.ownerlessSince[r.From] = since
 	}
-	return max(p.cfg.OwnerWait, since+p.cfg.OwnerLossDuration-now)
+	return max(p.cfg.OwnerWait, since+p.ownerlessTime(r)-now)
 }
 
 // rangeOf returns the range of the key, if owners are known.
--- a/admission/pool/refusal.go
+++ b/admission/pool/refusal.go
@@ -20,7 +20,7 @@
 			return a, true
 		}
 		limit := r.Arrived + p.cfg.OwnerWait
-		if p.isMoving(r.Key) {
+		if p.isMoving(r.Key) || p.isBeingEvacuated(r) {
 			limit = max(limit, r.Goal-p.serviceTime.value)
 		}
 		if now >= min(limit, r.Deadline) {
--- a/admission/pool/regions.go
+++ b/admission/pool/regions.go
@@ -4,6 +4,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/mangopost/mangopost/ownership/keyrange"
 )
 
 // mayUse reports whether the request's route allows the target's region. A target whose
@@ -112,10 +114,12 @@
 // its regions will be able to either, as far as is known.
 func (p *Pool) refuseOutside(now time.Duration, r Request, reason Reason) (Action, bool) {
 	switch {
-	case len(r.Regions) == 0:
+	case len(r.Regions) == 0 && !p.hasEvacuated():
 		return Action{}, false
 	case !p.hasTarget(r):
 		return p.refuse(now, r, reason, p.expectedAbsence(now, r)), true
+	case len(r.Regions) == 0:
+		return Action{}, false
 	case !p.cfg.Keyed: // the request has tried all its targets
 		return p.refuse(now, r, reason, p.retryScheduleOf(r).nextRetry(now, p.expectedWait(r), p.serviceRate(r, regionSet{}))), true
 	case p.isOwnedElsewhere(r):
@@ -124,6 +128,40 @@
 	return Action{}, false
 }
 
+// hasEvacuated reports whether a target's data centre is evacuated.
+func (p *Pool) hasEvacuated() bool {
+	for _, t := range p.targets {
+		if t.Evacuated {
+			return true
+		}
+	}
+	return false
+}
+
+// evacuationMoveTime is how long keys take to leave an evacuated data centre: hosts learn
+// of the evacuation up to a second apart, and a move takes a plan and two orders.
+const evacuationMoveTime = time.Second
+
+// ownerlessTime returns how long the keys of a range have no owner once the last one
+// accepts no work: an owner in an evacuated data centre releases them in order.
+func (p *Pool) ownerlessTime(r keyrange.Range) time.Duration {
+	if t := p.targets[r.Owner.Target]; t != nil && t.Evacuated {
+		return evacuationMoveTime
+	}
+	return p.cfg.OwnerLossDuration
+}
+
+// isBeingEvacuated reports whether the key is about to move out of an evacuated data
+// centre, so that waiting for its next owner is worthwhile.
+func (p *Pool) isBeingEvacuated(r Request) bool {
+	keyRange, ok := p.rangeOf(r.Key)
+	if !ok {
+		return false
+	}
+	t := p.targets[keyRange.Owner.Target]
+	return t != nil && t.Evacuated && p.hasTarget(r)
+}
+
 // isOwnedElsewhere reports whether the key has, or will have after its move, an owner
 // that accepts work and is not in a region that the request may use.
 func (p *Pool) isOwnedElsewhere(r Request) bool {
@@ -135,11 +173,18 @@
 	return t != nil && !t.Leaving && t.Owner.SameRun(keyRange.Owner) && !r.mayUse(t)
 }
 
+// anyRegion stands for all regions in emptySince.
+const anyRegion = ""
+
 // expectedAbsence estimates how long the request's regions will have no target that
 // accepts work: as long again as they have had none, within limits.
 func (p *Pool) expectedAbsence(now time.Duration, r Request) time.Duration {
+	regions := r.Regions
+	if len(regions) == 0 {
+		regions = []string{anyRegion}
+	}
 	least := maxRetryAfter
-	for _, region := range r.Regions {
+	for _, region := range regions {
 		since, ok := p.emptySince[region]
 		if !ok {
 			since = now
@@ -155,6 +200,7 @@
 	for _, t := range p.targets {
 		if !t.Leaving {
 			delete(p.emptySince, t.Region)
+			delete(p.emptySince, anyRegion)
 		}
 	}
 }
@@ -255,9 +301,10 @@
 }
 
 // onlyFar reports whether all targets that the request may use, except for those in the
-// given regions, are Far. It is false for a request that may use every target.
+// given regions, are Far. It is false for a request that may use every target, unless some
+// are evacuated.
 func (p *Pool) onlyFar(r Request, except regionSet) bool {
-	if len(r.Regions)+len(except.regions) == 0 {
+	if len(r.Regions)+len(except.regions) == 0 && !p.hasEvacuated() {
 		return false
 	}
 	for _, t := range p.targets {
--- a/admission/pool/regions_test.go
+++ b/admission/pool/regions_test.go
@@ -183,6 +183,27 @@
 	}
 	assert.Equal(t, len(p.Arrive(0, requestFor(101, ms, "east"))), 0, "three fit into the latency goal")
 	assert.Equal(t, len(p.Arrive(0, request(102, ms))), 0, "the queue of the west is none of its own")
+	for id := range uint64(10) {
+		for _, a := range p.Arrive(ms, requestFor(200+id, ms, "east")) {
+			assert.Assert(t, a.RetryAfter < 2*time.Second, "the first refused caller of the east: %v", a.RetryAfter)
+			return
+		}
+	}
+	t.Fatal("no request of the east is refused")
+}
+
+// Requests that may run anywhere wait before one for the west. They take its targets only
+// by their part of the capacity.
+func TestOthersTakeTheirPartOfRegion(t *testing.T) {
+	p := newUnkeyedPool(inRegion("w", 1, "west"), inRegion("e", 9, "east"))
+	waiting := 0
+	for id := range uint64(21) {
+		if len(p.Arrive(0, request(id, 0))) == 0 {
+			waiting++
+		}
+	}
+	assert.Assert(t, waiting >= 6, "%d wait", waiting)
+	assert.Equal(t, len(p.Arrive(0, requestFor(100, ms, "west"))), 0, "two or three run there before it")
 }
 
 // Only the west asked for a pause: its requests are refused until the end of the pause,
@@ -218,6 +239,45 @@
 	assert.Equal(t, at(2*time.Minute), 400*ms)
 }
 
+// While all data centres of a service are evacuated its requests are refused at once,
+// with or without regions or a key, and start again at the end. One that remains takes
+// them.
+func TestEvacuatedServiceRefusesAtOnce(t *testing.T) {
+	out := inRegion("e", 2, "east")
+	out.Leaving, out.Evacuated = true, true
+	for name, p := range map[string]*pool.Pool{"keyed": newKeyedPool(out), "unkeyed": newUnkeyedPool(out)} {
+		t.Run(name, func(t *testing.T) {
+			for _, r := range []pool.Request{request(1, 0), requestFor(2, 0, "east")} {
+				actions := p.Arrive(0, r)
+				assert.Equal(t, len(actions), 1, "request %d must not wait", r.ID)
+				assert.Assert(t, !actions[0].Start && actions[0].RetryAfter > 0)
+			}
+			assert.Equal(t, p.Arrive(time.Minute, request(3, time.Minute))[0].RetryAfter, 5*time.Second)
+			p.SetTargets(time.Minute, []pool.Target{inRegion("e", 2, "east")})
+			assert.Equal(t, startedTarget(t, p.Arrive(time.Minute, request(4, time.Minute))), "e")
+		})
+	}
+	p := newUnkeyedPool(out, inRegion("w", 1, "west"))
+	assert.Equal(t, startedTarget(t, p.Arrive(0, request(1, 0))), "w")
+	assert.Equal(t, len(p.Arrive(0, request(2, 0))), 0, "waits for the other data centre")
+}
+
+// A key's owner is in an evacuated data centre: requests wait for the key to move as long
+// as their latency goal allows, and are told a time in which an orderly move ends.
+func TestRequestsWaitForEvacuatedKey(t *testing.T) {
+	out, in := inRegion("e", 2, "east"), inRegion("w", 2, "west")
+	out.Leaving, out.Evacuated = true, true
+	p := newKeyedPool(out, in)
+	p.SetOwners(keyrange.New("s", []keyrange.Owner{out.Owner}, []float64{1}))
+	r := request(1, 0)
+	assert.Equal(t, len(p.Arrive(0, r)), 0)
+	assert.Equal(t, len(p.Tick(440*ms)), 0, "longer than for a lost owner")
+	refused := p.Tick(450 * ms)
+	assert.Equal(t, len(refused), 1)
+	assert.Assert(t, refused[0].RetryAfter <= time.Second, "%v", refused[0].RetryAfter)
+	assert.Equal(t, len(p.Arrive(450*ms, requestFor(2, 450*ms, "east"))), 1, "no target of its region remains")
+}
+
 // A waiting request is refused when the last target of its region leaves.
 func TestWaitingRequestIsRefusedWithoutRegion(t *testing.T) {
 	p := newUnkeyedPool(inRegion("w", 1, "west"))
--- a/admission/pool/types.go
+++ b/admission/pool/types.go
@@ -24,9 +24,12 @@
 	Distance Distance
 	Region   string // "" if not known
 	Slots    int
-	Leaving  bool          // accepts no new work
-	ColdFor  time.Duration // remaining time during which it is slow after its start
-	Limit    int           // maximum number of concurrent requests of this host: its share of connections; 0: no limit
+	Leaving  bool // accepts no new work
+	// Evacuated says that the target is Leaving because its data centre is evacuated, for
+	// an unknown time. It is set only together with Leaving.
+	Evacuated bool
+	ColdFor   time.Duration // remaining time during which it is slow after its start
+	Limit     int           // maximum number of concurrent requests of this host: its share of connections; 0: no limit
 }
 
 // Request is a request that waits for a target.
--- a/internal/entry/discovery.go
+++ b/internal/entry/discovery.go
@@ -44,7 +44,7 @@
 			return
 		}
 		if hasCoordinator(batch) {
-			f.applyBatch(batch, true, staleReadAge)
+			f.applyStale(batch)
 			f.awaitRelay(ctx, restartRelayWait)
 			return
 		}
--- a/internal/entry/events.go
+++ b/internal/entry/events.go
@@ -28,6 +28,9 @@
 
 	evLeaving = kernel.RegisterEvent(6016, hclog.Info, "target says that it is leaving")
 
+	evEvacuation       = kernel.RegisterEvent(6017, hclog.Info, "evacuation of a data centre begins or ends")
+	evNoSuchDataCentre = kernel.RegisterEvent(6018, hclog.Warn, "evacuation has no effect: no such data centre is known")
+
 	evAnswered = kernel.RegisterEvent(6100, hclog.Info, "request answered by a target")
 	evRefused  = kernel.RegisterEvent(6101, hclog.Info, "request refused: not run")
 	evUnknown  = kernel.RegisterEvent(6102, hclog.Warn, "request ended without an answer: it may have run")
--- a/internal/entry/feeds.go
+++ b/internal/entry/feeds.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -25,6 +26,9 @@
 
 func newFeeds(n *Node) []*feed {
 	feeds := []*feed{configurationFeed(n), targetFeed(n), ownersFeed(n)}
+	if n.hasPlaces {
+		feeds = append(feeds, evacuationFeed(n))
+	}
 	for _, f := range feeds {
 		f.node, f.mirror, f.compressed = n, mirror.New(), make(compressedValues)
 	}
@@ -61,21 +65,22 @@
 }
 
 func targetFeed(n *Node) *feed {
-	return &feed{
+	f := &feed{
 		prefix: platform.TargetPrefix,
 		pause:  targetPause,
 		// Only a listing shows which targets still write heartbeats while nothing
 		// else changes.
 		relist:      true,
 		awaitsRelay: true,
-		replace:     n.replaceTargets,
-		apply:       n.applyTargets,
 		onAnswer: func() {
 			n.mu.Lock()
 			defer n.mu.Unlock()
 			n.directory.RecordAnswer(steadyClock())
 		},
 	}
+	f.replace = func(objects []objectstore.Object) { n.replaceTargets(objects, f.objectsAge) }
+	f.apply = func(objects []objectstore.Object) []objectstore.Object { return n.applyTargets(objects, f.objectsAge) }
+	return f
 }
 
 // decodeTarget decodes a target's entry. ok is false for an entry that names no
@@ -88,8 +93,9 @@
 	return directory.Entry(t), err == nil
 }
 
-// replaceTargets replaces all targets in the directory by the listed entries.
-func (n *Node) replaceTargets(objects []objectstore.Object) {
+// replaceTargets replaces all targets in the directory by the entries that were listed
+// at least age ago.
+func (n *Node) replaceTargets(objects []objectstore.Object, age time.Duration) {
 	var entries []directory.Entry
 	for _, obj := range objects {
 		if e, ok := n.decodeTarget(obj); ok {
@@ -98,19 +104,22 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	for _, e := range entries {
+		n.recordSighting(e, age)
+	}
 	n.directory.Replace(steadyClock(), entries)
 	n.log.Emit(evTargets, "listed", len(entries))
 	n.updateTargets()
 }
 
-// applyTargets applies changed entries to the directory and returns those that
-// changed more than their heartbeat.
-func (n *Node) applyTargets(objects []objectstore.Object) []objectstore.Object {
+// applyTargets applies changed entries, which were in the store at least age ago, to the
+// directory and returns those that changed more than their heartbeat.
+func (n *Node) applyTargets(objects []objectstore.Object, age time.Duration) []objectstore.Object {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	var changed []objectstore.Object
 	for _, obj := range objects {
-		if n.applyTargetChange(obj) {
+		if n.applyTargetChange(obj, age) {
 			changed = append(changed, obj)
 		}
 	}
@@ -122,7 +131,7 @@
 
 // applyTargetChange applies one changed entry and reports whether it changed the
 // directory beyond the heartbeat. mu is held.
-func (n *Node) applyTargetChange(obj objectstore.Object) bool {
+func (n *Node) applyTargetChange(obj objectstore.Object, age time.Duration) bool {
 	name := strings.TrimPrefix(obj.Name, platform.TargetPrefix)
 	before, wasKnown := n.directory.Announced(name)
 	if obj.Deleted {
@@ -136,12 +145,13 @@
 		n.directory.Remove(steadyClock(), name)
 		return wasKnown
 	}
+	changesCold := n.changesCold(e, age)
 	hasReturned := n.directory.Put(e)
-	if wasKnown && !hasReturned && before.Leaving == e.Leaving && before.Run == e.Run && before.Addr == e.Addr && before.Slots == e.Slots {
+	if wasKnown && !hasReturned && !changesCold && before.Leaving == e.Leaving && before.Run == e.Run && before.Addr == e.Addr && before.Slots == e.Slots {
 		return false
 	}
 	n.log.Emit(evTargets, "target", name, "service", e.Service, "addr", e.Addr, "data_centre", e.DataCentre,
-		"leaving", e.Leaving, "run", e.Run, "slots", e.Slots, "version", obj.Version)
+		"leaving", e.Leaving, "run", e.Run, "slots", e.Slots, "cold_ms", ms(e.ColdFor), "version", obj.Version)
 	return true
 }
 
--- a/internal/entry/fleet_test.go
+++ b/internal/entry/fleet_test.go
@@ -29,6 +29,8 @@
 	isDown atomic.Bool
 	calls  atomic.Int64 // in tenths: a read that may be stale costs one
 
+	contracts []string // of the hosts' settings
+
 	mu     sync.Mutex
 	byKind map[string]int
 	hosts  []*testHost
@@ -50,6 +52,20 @@
 )
 
 func newTestFleet(t *testing.T, hosts int) *testFleet {
+	t.Helper()
+	f := newEmptyFleet(t)
+	standin.SetConfiguration(f.store, 1, []standin.Route{{Name: "x", Service: fleetService, Idempotent: true}}, map[string]bool{fleetService: false})
+	for i := range fleetTargets {
+		f.store.Set(fmt.Sprintf("servers/t%02d", i), standin.TargetEntry(fleetService, fmt.Sprintf("127.0.0.1:%d", 1+i), "dc0", 4, "ready", 1, 1))
+	}
+	for i := range hosts {
+		f.addHost(i)
+	}
+	return f
+}
+
+// newEmptyFleet returns a fleet with an empty store and without hosts.
+func newEmptyFleet(t *testing.T) *testFleet {
 	t.Helper()
 	f := &testFleet{t: t, store: standin.NewStore(), byKind: make(map[string]int)}
 	f.store.Fault = func(r *http.Request) standin.Fault {
@@ -69,13 +85,6 @@
 	server := httptest.NewServer(f.store)
 	t.Cleanup(server.Close)
 	f.addr = netip.MustParseAddrPort(server.Listener.Addr().String())
-	standin.SetConfiguration(f.store, 1, []standin.Route{{Name: "x", Service: fleetService, Idempotent: true}}, map[string]bool{fleetService: false})
-	for i := range fleetTargets {
-		f.store.Set(fmt.Sprintf("servers/t%02d", i), standin.TargetEntry(fleetService, fmt.Sprintf("127.0.0.1:%d", 1+i), "dc0", 4, "ready", 1, 1))
-	}
-	for i := range hosts {
-		f.addHost(i)
-	}
 	t.Cleanup(f.stopAll)
 	return f
 }
@@ -93,7 +102,8 @@
 		Host: fmt.Sprintf("host-%03d", number), DataCentre: fmt.Sprintf("dc%d", number%4), Region: "r", IP: ip, Cores: cores,
 		Callers: at(0), Readiness: at(1), Peers: at(2),
 		Store: f.addr, Heartbeat: 900 * time.Millisecond, Regions: map[string]string{"dc0": "r", "dc1": "r", "dc2": "r", "dc3": "r"},
-		Bounds: platform.Bounds{Stop: 4500 * time.Millisecond, Apply: 4 * time.Second, Drain: 4 * time.Second, GrantMax: 10 * time.Second},
+		Bounds:    platform.Bounds{Stop: 4500 * time.Millisecond, Apply: 4 * time.Second, Drain: 4 * time.Second, GrantMax: 10 * time.Second, Evacuate: 5 * time.Second},
+		Contracts: f.contracts,
 	}
 	h := &testHost{settings: s}
 	h.settings.FirstStart = true
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -85,13 +85,16 @@
 	awaitsRelay bool
 	// isOwn marks objects that only the coordinator writes: it need not watch what
 	// it writes itself.
-	isOwn     bool
-	storeLost bool // the store did not answer the last call; used by follow alone
+	isOwn bool
+	// isOptional marks a feed that not all hosts have.
+	isOptional bool
+	storeLost  bool // the store did not answer the last call; used by follow alone
 
 	mu         sync.Mutex
 	mirror     *mirror.Mirror
 	compressed compressedValues
 	isListed   bool
+	objectsAge time.Duration // least age of the objects that are being applied
 	isOwnList  bool          // it was listed by this host, and not relayed since
 	needsFresh bool          // the next listing must not be stale
 	lastAnswer time.Duration // when the store last answered this host or the coordinator
@@ -245,7 +248,11 @@
 // maxRelayAge returns the age from which relayed store data is no longer trusted.
 func (n *Node) maxRelayAge() time.Duration {
 	b := n.settings.Load().Bounds
-	return min(max(min(b.Apply, b.Drain)-relayAgeMargin, minRelayAge), maxRelayAge)
+	bound := min(b.Apply, b.Drain)
+	if n.hasPlaces {
+		bound = min(bound, b.Evacuate)
+	}
+	return min(max(bound-relayAgeMargin, minRelayAge), maxRelayAge)
 }
 
 // relayValidity returns how long after a relay the next one is awaited. A host with an
@@ -347,7 +354,7 @@
 	if mayBeStale {
 		batch, err := f.node.store.ListStale(ctx, f.prefix)
 		if err == nil {
-			f.applyBatch(batch, true, staleReadAge)
+			f.applyStale(batch)
 		}
 		return err
 	}
@@ -376,8 +383,18 @@
 // applyBatch applies objects that the store returned age ago, unless the feed is
 // already newer.
 func (f *feed) applyBatch(batch objectstore.Batch, full bool, age time.Duration) {
+	f.applyAged(batch, full, age, age)
+}
+
+// applyStale applies a complete listing that may be stale, which may also be new.
+func (f *feed) applyStale(batch objectstore.Batch) { f.applyAged(batch, true, staleReadAge, 0) }
+
+// applyAged is applyBatch for objects of which only the least and the greatest age are
+// known.
+func (f *feed) applyAged(batch objectstore.Batch, full bool, age, leastAge time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.objectsAge = leastAge
 	if batch.Revision < f.mirror.Revision() || !full && !f.isListed {
 		return
 	}
--- a/internal/entry/granting.go
+++ b/internal/entry/granting.go
@@ -29,8 +29,11 @@
 )
 
 // grant sends one grant and reports whether the target accepted it. The lease is
-// checked immediately before sending.
+// checked immediately before sending. Targets of evacuated data centres get none.
 func (t *term) grant(service string, r keyrange.Range, s *rangeState) bool {
+	if !t.node.mayGrant(r.Owner) {
+		return false
+	}
 	holdFor := grantHold
 	if t.candidate.needsLongGrants() {
 		holdFor = min(longGrantHold, t.node.settings.Load().Bounds.GrantMax)
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -26,6 +26,7 @@
 		}
 		return 0
 	})
+	gauge("mangopost_entry_data_centres_evacuated", func() float64 { return float64(n.evacuationCount()) })
 	gauge("mangopost_entry_store_age_seconds", func() float64 { return n.storeAge().Seconds() })
 	gauge("mangopost_entry_store_calls_total", func() float64 { return float64(n.store.Calls()) })
 	gauge("mangopost_entry_log_dropped_total", func() float64 { return float64(n.log.Dropped()) })
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -18,6 +18,7 @@
 	"github.com/mangopost/mangopost/admission/pool"
 	"github.com/mangopost/mangopost/kernel"
 	"github.com/mangopost/mangopost/membership/directory"
+	"github.com/mangopost/mangopost/membership/evacuation"
 	"github.com/mangopost/mangopost/ownership/keyrange"
 	"github.com/mangopost/mangopost/platform"
 	"github.com/mangopost/mangopost/routing"
@@ -81,11 +82,14 @@
 	services  map[string]*service
 	splitter  *routing.Splitter
 	directory *directory.Directory
-	owners    map[string]owners
-	history   ownersHistory
+	// evacuations is used only where hasPlaces is set.
+	evacuations *evacuation.State
+	owners      map[string]owners
+	history     ownersHistory
 
 	candidate *candidate
 	feeds     []*feed
+	hasPlaces bool // the terms on data centres were in force when the process started
 }
 
 // New returns a node that is not running yet. A signal on hangups requests a
@@ -110,6 +114,8 @@
 			OutageAfter:  2 * s.Heartbeat,
 			ReturnPeriod: storeReturn,
 		}),
+		evacuations: evacuation.New(evacuationSettleBeats * s.Heartbeat),
+		hasPlaces:   s.HasContract(platform.ContractPlaces),
 	}
 	n.settings.Store(s)
 	n.hostCount.Store(assumedHosts)
@@ -206,7 +212,7 @@
 }
 
 // isReady reports whether this host can serve: it has a configuration, targets,
-// and an owner map for each keyed service.
+// an owner map for each keyed service, and knows which data centres are evacuated.
 func (n *Node) isReady() bool {
 	table := n.table.Load()
 	if table == nil || n.stopping.Load() {
@@ -214,7 +220,7 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if !n.directory.HasAnswer() {
+	if !n.directory.HasAnswer() || !n.knowsEvacuations() {
 		return false
 	}
 	for name, s := range table.Services {
@@ -284,7 +290,7 @@
 	for name, s := range table.Services {
 		entries := n.directory.TargetsOf(name)
 		n.slots[name] = slotsOf(entries)
-		targets := n.poolTargets(entries, s.MaxConnections)
+		targets := n.poolTargets(entries, s)
 		n.services[name].updatePool(func(p *pool.Pool) { p.SetTargets(steadyClock(), targets) })
 	}
 }
@@ -297,21 +303,24 @@
 	return slots
 }
 
-func (n *Node) poolTargets(entries []directory.Entry, connections int) []pool.Target {
+// poolTargets returns the targets of a service for its pool. mu is held.
+func (n *Node) poolTargets(entries []directory.Entry, s routing.Service) []pool.Target {
 	limit := 0
-	if connections > 0 {
-		limit = max(1, int(connectionShare*float64(connections)/float64(n.hostCount.Load())))
+	if s.MaxConnections > 0 {
+		limit = max(1, int(connectionShare*float64(s.MaxConnections)/float64(n.hostCount.Load())))
 	}
 	out := make([]pool.Target, 0, len(entries))
 	for _, e := range entries {
+		isEvacuated := n.evacuations.IsEvacuated(e.DataCentre)
 		out = append(out, pool.Target{
-			Owner:    ownerOf(e),
-			Distance: n.distance(e.DataCentre),
-			Region:   n.regionOf(e.DataCentre),
-			Slots:    e.Slots,
-			Leaving:  e.Leaving,
-			ColdFor:  e.ColdFor,
-			Limit:    limit,
+			Owner:     ownerOf(e),
+			Distance:  n.distance(e.DataCentre),
+			Region:    n.regionOf(e.DataCentre),
+			Slots:     e.Slots,
+			Leaving:   e.Leaving || isEvacuated,
+			Evacuated: isEvacuated,
+			ColdFor:   n.coldFor(s, e),
+			Limit:     limit,
 		})
 	}
 	return out
--- a/internal/entry/plan.go
+++ b/internal/entry/plan.go
@@ -29,6 +29,9 @@
 	if err := t.refreshListing(service); err != nil {
 		return errors.Wrap(err, "list targets for the map")
 	}
+	if !t.knowsEvacuations() {
+		return nil
+	}
 	owned := t.mapOf(service)
 	targets := t.targets(service)
 	switch {
@@ -171,11 +174,8 @@
 
 // targets returns the targets of a service that may own keys.
 func (t *term) targets(service string) []hotrange.Target {
-	t.node.mu.Lock()
-	entries := t.node.directory.TargetsOf(service)
-	t.node.mu.Unlock()
 	var out []hotrange.Target
-	for _, e := range entries {
+	for _, e := range t.node.grantableEntries(service) {
 		owner := ownerOf(e)
 		if e.Leaving || t.isSuspect(owner, leaseClock()) {
 			continue
--- a/internal/entry/reportframe.go
+++ b/internal/entry/reportframe.go
@@ -229,6 +229,9 @@
 	}
 	var out []*pb.Relay
 	for _, f := range n.feeds {
+		if _, isKnown := revisions[f.prefix]; f.isOptional && !isKnown {
+			continue // the host would ignore it
+		}
 		if r := f.relaySince(revisions[f.prefix]); r != nil {
 			out = append(out, r)
 		}
