A host knows the evacuations only from a recent answer of the store

Cause: a host that starts could be relayed an old list, such as by a coordinator that has lost its way to the store, and be ready with it. Targets count as known only after an answer that is younger than 1.3 s; evacuations did not.

Change: the same rule for the evacuations.

--- a/internal/entry/evacuations.go
+++ b/internal/entry/evacuations.go
@@ -31,6 +31,11 @@
 		pause:       evacuationPause,
 		awaitsRelay: true,
 		isOptional:  true,
+		onAnswer: func() {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			n.evacuations.RecordAnswer()
+		},
 		replace: func(objects []objectstore.Object) {
 			var names []string
 			for _, obj := range objects {
@@ -95,7 +100,7 @@
 
 // knowsEvacuations reports whether this host knows which data centres are evacuated, as
 // far as that matters. mu is held.
-func (n *Node) knowsEvacuations() bool { return !n.hasPlaces || n.evacuations.IsListed() }
+func (n *Node) knowsEvacuations() bool { return !n.hasPlaces || n.evacuations.IsKnown() }
 
 // knowsEvacuations reports whether the coordinator's host knows which data centres are
 // evacuated.
--- a/internal/entry/evacuations_test.go
+++ b/internal/entry/evacuations_test.go
@@ -364,6 +364,7 @@
 		return out
 	}
 	assert.Assert(t, !grants() && !tm.knowsEvacuations(), "a host that has just started knows no evacuations")
+	f.onAnswer()
 	f.replace(nil)
 	assert.Assert(t, grants() && tm.knowsEvacuations())
 	assert.DeepEqual(t, names(), []string{"a", "b"})
@@ -397,7 +398,9 @@
 		return tm.mapOf("s").keys.Ranges[0].Owner.Target
 	}
 	assert.Equal(t, plan(), "gone")
-	tm.node.feedOf(platform.EvacuationPrefix).replace(evacuationObject("x", false))
+	f := tm.node.feedOf(platform.EvacuationPrefix)
+	f.onAnswer()
+	f.replace(evacuationObject("x", false))
 	assert.Equal(t, plan(), "b")
 	tm.cancel()
 }
@@ -409,9 +412,12 @@
 	n := tm.node
 	n.setOwners("s", owners{keys: tm.mapOf("s").keys, version: 1})
 	assert.Assert(t, !n.isReady())
-	n.feedOf(platform.EvacuationPrefix).applyBatch(objectstore.Batch{Revision: 1}, true, 0)
+	f := n.feedOf(platform.EvacuationPrefix)
+	f.applyBatch(objectstore.Batch{Revision: 1}, true, minRelayAge)
+	assert.Assert(t, !n.isReady(), "a host that has not heard from the store lately relays")
+	f.applyBatch(objectstore.Batch{Revision: 1}, false, 0)
 	assert.Assert(t, n.isReady())
-	n.feedOf(platform.EvacuationPrefix).requireListing()
+	f.requireListing()
 	assert.Assert(t, n.isReady(), "what was known holds")
 	other, _ := newTestTerm(t)
 	assert.Assert(t, other.knowsEvacuations())
--- a/membership/evacuation/evacuation.go
+++ b/membership/evacuation/evacuation.go
@@ -42,10 +42,11 @@
 
 // State is what one host knows of evacuations. The zero value is not usable; call New.
 type State struct {
-	settle   time.Duration
-	isListed bool
-	active   map[string]bool
-	endings  map[string]*ending // by data centre
+	settle    time.Duration
+	isListed  bool
+	hasAnswer bool // a recent answer of the store was seen
+	active    map[string]bool
+	endings   map[string]*ending // by data centre
 }
 
 const (
@@ -111,8 +112,13 @@
 	return e
 }
 
-// IsListed reports whether all evacuations were listed once.
-func (s *State) IsListed() bool { return s.isListed }
+// RecordAnswer records that the state is being brought up to date with a recent answer
+// of the store.
+func (s *State) RecordAnswer() { s.hasAnswer = true }
+
+// IsKnown reports whether all evacuations were listed, and the list was up to date once.
+// A listing that another host relays may be old.
+func (s *State) IsKnown() bool { return s.isListed && s.hasAnswer }
 
 // IsEvacuated reports whether a data centre is evacuated.
 func (s *State) IsEvacuated(dataCentre string) bool { return s.active[dataCentre] }
--- a/membership/evacuation/evacuation_test.go
+++ b/membership/evacuation/evacuation_test.go
@@ -35,10 +35,11 @@
 // replaces what is known. A name that nothing is known of is only a name.
 func TestEvacuationsBeginAndEnd(t *testing.T) {
 	s := evacuation.New(settle)
-	assert.Assert(t, !s.IsListed())
+	s.RecordAnswer()
+	assert.Assert(t, !s.IsKnown())
 	changes := s.Replace(0, []string{"x", "y"}, nil)
 	assert.Equal(t, len(changes), 2)
-	assert.Assert(t, s.IsListed() && s.IsEvacuated("x") && s.IsEvacuated("y") && !s.IsEvacuated("z"))
+	assert.Assert(t, s.IsKnown() && s.IsEvacuated("x") && s.IsEvacuated("y") && !s.IsEvacuated("z"))
 	assert.Equal(t, len(s.Replace(second, []string{"y", "x"}, nil)), 0, "the same list")
 	assert.DeepEqual(t, s.Set(second, "x", false, nil), []evacuation.Change{{DataCentre: "x"}})
 	assert.Assert(t, !s.IsEvacuated("x") && s.IsEvacuated("y"))
@@ -58,6 +59,7 @@
 	s := evacuation.New(settle)
 	s.Replace(0, nil, nil)
 	assert.Equal(t, s.ColdFor(0, "a", "x", cold), time.Duration(0))
+	assert.Assert(t, !s.IsKnown(), "the listing may be old")
 }
 
 // After an evacuation a target that has become cold must not get full load because of an
