--- a/internal/entry/events.go
+++ b/internal/entry/events.go
@@ -28,9 +28,11 @@
 
 	evLeaving = kernel.RegisterEvent(6016, hclog.Info, "target says that it is leaving")
 
-	evCold    = kernel.RegisterEvent(6020, hclog.Info, "target counts as cold: its requests are limited")
-	evWarm    = kernel.RegisterEvent(6021, hclog.Info, "target counts as warm again")
-	evReserve = kernel.RegisterEvent(6023, hclog.Info, "capacity reserved for more urgent requests begins or ends")
+	evEvacuation       = kernel.RegisterEvent(6017, hclog.Info, "evacuation of a data centre begins or ends")
+	evNoSuchDataCentre = kernel.RegisterEvent(6018, hclog.Warn, "evacuation has no effect: no such data centre is known")
+	evCold             = kernel.RegisterEvent(6020, hclog.Info, "target counts as cold: its requests are limited")
+	evWarm             = kernel.RegisterEvent(6021, hclog.Info, "target counts as warm again")
+	evReserve          = kernel.RegisterEvent(6023, hclog.Info, "capacity reserved for more urgent requests begins or ends")
 
 	evAnswered = kernel.RegisterEvent(6100, hclog.Info, "request answered by a target")
 	evRefused  = kernel.RegisterEvent(6101, hclog.Info, "request refused: not run")
--- a/internal/entry/plan.go
+++ b/internal/entry/plan.go
@@ -30,6 +30,9 @@
 	if err := t.refreshListing(service); err != nil {
 		return errors.Wrap(err, "list targets for the map")
 	}
+	if !t.knowsEvacuations() {
+		return nil
+	}
 	owned := t.mapOf(service)
 	targets := t.targets(service)
 	switch {
@@ -179,7 +182,6 @@
 // targets returns the targets of a service that may own keys.
 func (t *term) targets(service string) []hotrange.Target {
 	t.node.mu.Lock()
-	entries := t.node.directory.TargetsOf(service)
 	s := t.node.services[service]
 	t.node.mu.Unlock()
 	var cold coldTargets
@@ -187,7 +189,7 @@
 		cold = s.coldTargets()
 	}
 	var out []hotrange.Target
-	for _, e := range entries {
+	for _, e := range t.node.grantableEntries(service) {
 		owner := ownerOf(e)
 		if e.Leaving || t.isSuspect(owner, leaseClock()) {
 			continue
