--- a/admission/pool/crossing.go
+++ b/admission/pool/crossing.go
@@ -82,15 +82,17 @@
 
 // placeState is what a pool knows about a place over all routes.
 type placeState struct {
-	times     crossing.Times
-	isAway    bool
-	awaySince time.Duration
-	returning crossing.Return
+	times      crossing.Times
+	wasPresent bool // it had targets that accept work and are not cold
+	isAway     bool
+	awaySince  time.Duration
+	returning  crossing.Return
 }
 
 // routeCrossing is what a pool knows about a route's requests.
 type routeCrossing struct {
 	bytes   crossing.Bytes
+	work    crossing.Times // without the assumed path, at targets with a free slot
 	places  [crossing.NumPlaces]routePlace
 	arrived time.Duration
 }
@@ -156,25 +158,33 @@
 			delete(c.routes, name)
 		}
 	}
-	var has [crossing.NumPlaces]bool
-	c.nearest = Far
+	var has [crossing.NumPlaces]bool // warm targets
+	nearest, nearestWarm := Far, Far
 	dataCentres := make(map[string]bool)
 	for _, t := range p.targets {
-		if !t.Leaving {
+		if t.Leaving {
+			continue
+		}
+		dataCentres[t.DataCentre] = true
+		nearest = min(nearest, t.Distance)
+		if t.coldFor(now) == 0 {
 			has[t.Distance] = true
-			dataCentres[t.DataCentre] = true
-			c.nearest = min(c.nearest, t.Distance)
+			nearestWarm = min(nearestWarm, t.Distance)
 		}
 	}
-	c.dataCentres = len(dataCentres)
+	c.dataCentres, c.nearest = len(dataCentres), nearest
+	if has[nearestWarm] {
+		c.nearest = nearestWarm
+	}
 	for i := range c.places {
 		s := &c.places[i]
+		s.wasPresent = s.wasPresent || has[i]
 		switch {
-		case !has[i] && !s.isAway:
+		case !has[i] && !s.isAway && s.wasPresent:
 			s.isAway, s.awaySince = true, now
 		case has[i] && s.isAway:
 			s.isAway = false
-			if s.awaySince > 0 && now >= s.awaySince+awayTime {
+			if now >= s.awaySince+awayTime {
 				s.returning.Begin(now)
 			}
 		}
@@ -399,6 +409,10 @@
 	if isKnown(place) {
 		return rc.places[place].times.Mean(), &rc.places[place].times
 	}
+	// The times at full places of this region say little about another one.
+	if Distance(place) == Far && rc.work.Samples() >= minPlaceSamples {
+		return rc.work.Mean() + crossing.AssumedPath[place], &rc.work
+	}
 	for i := range rc.places {
 		if isKnown(i) {
 			known := &rc.places[i].times
@@ -505,6 +519,9 @@
 		return
 	}
 	rc.bytes.Add(bytes)
+	if t := p.targets[a.Target.Target]; t != nil && t.hasFreeSlot() {
+		rc.work.Add(max(took-crossing.AssumedPath[a.Distance], 0))
+	}
 	at := &rc.places[a.Distance]
 	at.times.Add(took)
 	at.sampled = now
--- a/admission/pool/crossing_test.go
+++ b/admission/pool/crossing_test.go
@@ -20,15 +20,17 @@
 	}
 }
 
-// crossingRun simulates 59 hosts and 60 targets in 4 data centres with one route. load is
+// crossingRun simulates hosts and 60 targets in 4 data centres with one route. load is
 // a multiple of the slots; part is the part of the requests that arrive in data centre 0.
 type crossingRun struct {
+	hosts      int
 	load, part float64
 	work, goal time.Duration
 }
 
 func (c crossingRun) simulate(learned bool) *simResult {
-	const hosts, targets, slots = 59, 60, 6
+	const targets, slots = 60, 6
+	hosts := c.hosts
 	perSecond := c.load * targets * slots / c.work.Seconds()
 	s := simulation{hosts: hosts, targets: targets, slots: slots, slowPart: 0.2, duration: 12 * time.Second, routes: []simRoute{
 		{name: "r", priority: 1, rate: constant(perSecond), work: c.work, goal: c.goal, deadline: 4 * c.goal},
@@ -53,11 +55,11 @@
 		crossingRun
 		maxFar float64 // part of the sends that cross to the other region, of those with fixed penalties
 	}{
-		"room everywhere":          {crossingRun{0.5, 0.25, 68 * ms, 250 * ms}, 0.05},
-		"one data centre full":     {crossingRun{0.6, 0.6, 68 * ms, 250 * ms}, 0.4},
-		"one full, far goal":       {crossingRun{0.6, 0.6, 220 * ms, 800 * ms}, 0.6},
-		"all data centres full":    {crossingRun{1.3, 0.25, 68 * ms, 250 * ms}, 0.4},
-		"room everywhere, far aim": {crossingRun{0.7, 0.25, 420 * ms, 2500 * ms}, 0.01},
+		"room everywhere":          {crossingRun{59, 0.5, 0.25, 68 * ms, 250 * ms}, 0.05},
+		"one data centre full":     {crossingRun{59, 0.6, 0.6, 68 * ms, 250 * ms}, 0.4},
+		"one full, far goal":       {crossingRun{59, 0.6, 0.6, 220 * ms, 800 * ms}, 0.6},
+		"all data centres full":    {crossingRun{59, 1.3, 0.25, 68 * ms, 250 * ms}, 0.4},
+		"room everywhere, far aim": {crossingRun{59, 0.7, 0.25, 420 * ms, 2500 * ms}, 0.01},
 	} {
 		fixed, learned := c.simulate(false), c.simulate(true)
 		t.Logf("%s: fixed: %v, sent %v; learned: %v, sent %v", name, fixed, fixed.sent, learned, learned.sent)
@@ -67,6 +69,23 @@
 	}
 }
 
+// Guards against hosts that leave and come back at once: as in routing/crossing, a swing of
+// the share that leaves must not move more work than fits into the goal of 250 ms while
+// reports are up to 0.8 s old, here at a load of 1.7 in data centre 0.
+func TestFarShareIsSteady(t *testing.T) {
+	const settled, maxSwing = 7, 0.25 / 0.8 / 1.7
+	for _, hosts := range []int{12, 300} {
+		r := crossingRun{hosts, 0.7, 0.6, 68 * ms, 250 * ms}.simulate(true)
+		least, most := 1.0, 0.0
+		for i := settled; i < len(r.sentAll); i++ {
+			share := r.sentFar[i] / r.sentAll[i]
+			least, most = min(least, share), max(most, share)
+		}
+		t.Logf("%d hosts: %v, sent %v, far share %.3f to %.3f", hosts, r, r.sent, least, most)
+		assert.Assert(t, most-least < maxSwing && least > 0, "%d hosts: %.3f to %.3f", hosts, least, most)
+	}
+}
+
 // newLearnedPool returns a pool with two full targets at home and a free one in another region,
 // and the number of the next request.
 func newLearnedPool(t *testing.T) (*pool.Pool, uint64) {
@@ -146,16 +165,37 @@
 	assert.Equal(t, startedTarget(t, a), "c")
 	assert.Equal(t, a[0].CrossReason, pool.CrossNoNear)
 
-	p, id := pool.New(cfg), uint64(1)
-	p.SetTargets(0, []pool.Target{target("a", 1, pool.SameZone), target("c", 40, pool.Far)})
-	assert.Equal(t, startedTarget(t, p.Arrive(0, aimed(id, 0, 250*ms))), "a")
-	for now := ms; now < 500*ms; now += 10 * ms {
-		cfg.Crossing.Link.Record(now, 1e6)
-		id++
-		for _, a := range append(p.Arrive(now, aimed(id, now, 250*ms)), p.Tick(now)...) {
-			assert.Assert(t, !a.Start, "it crosses a full link: %+v", a)
+	for _, isFull := range []bool{false, true} {
+		p, id := newLearnedPool(t)
+		crossed := 0
+		for now := ms; now < 500*ms; now += 10 * ms {
+			if isFull {
+				p.RecordCrossing(now, pool.Action{Target: owner("c"), Distance: pool.Far}, 0, 1e7, pool.Abandoned)
+			}
+			id++
+			for _, a := range append(p.Arrive(now, aimed(id, now, 250*ms)), p.Tick(now)...) {
+				if a.Start {
+					crossed++
+				}
+			}
+		}
+		assert.Assert(t, isFull && crossed == 0 || !isFull && crossed > 5, "full %v: %d cross", isFull, crossed)
+	}
+}
+
+// Guards against a request with a near goal that waits behind one that can wait longer.
+func TestPressedRequestPassesOneThatCanWait(t *testing.T) {
+	p, id := newLearnedPool(t)
+	assert.Equal(t, len(p.Arrive(ms, aimed(id, ms, 2500*ms))), 0)
+	assert.Equal(t, len(p.Arrive(2*ms, aimed(id+1, 2*ms, 250*ms))), 0)
+	for now := 10 * ms; now < 200*ms; now += 10 * ms {
+		if a := p.Tick(now); len(a) > 0 {
+			assert.Equal(t, a[0].ID, id+1)
+			assert.Equal(t, startedTarget(t, a), "c")
+			return
 		}
 	}
+	t.Fatal("it waits until it is late")
 }
 
 // Guards against all work at once for targets that have just come back.
--- a/admission/pool/simulation_test.go
+++ b/admission/pool/simulation_test.go
@@ -84,7 +84,8 @@
 	arrived, inTime, late, refused int
 	refusedAfter                   []time.Duration // Retry-After of the refusals
 	took                           time.Duration
-	sent                           [3]int // by distance of the target
+	sent                           [3]int    // by distance of the target
+	sentAll, sentFar               []float64 // by second
 }
 
 func (r *simResult) goodShare() float64 { return float64(r.inTime) / float64(max(1, r.arrived)) }
@@ -249,7 +250,15 @@
 
 func (s *simulation) countSent(req *simRequest, d pool.Distance) {
 	if req.Arrived > simWarmUp {
-		s.results[req.route.name].sent[d]++
+		r, second := s.results[req.route.name], int(s.now/time.Second)
+		r.sent[d]++
+		for len(r.sentAll) <= second {
+			r.sentAll, r.sentFar = append(r.sentAll, 0), append(r.sentFar, 0)
+		}
+		r.sentAll[second]++
+		if d == pool.Far {
+			r.sentFar[second]++
+		}
 	}
 }
 
--- a/cmd/mangopost-entry/main.go
+++ b/cmd/mangopost-entry/main.go
@@ -30,9 +30,14 @@
 // collector runs more often.
 const memoryShare = 0.8
 
+// bytesPerMbit is the number of bytes of a megabit.
+const bytesPerMbit = 1e6 / 8
+
 type options struct {
-	MetricsPort uint16 `long:"metrics-port" default:"9464" value-name:"PORT" description:"port of the metrics, at the host's IP"`
-	Check       bool   `long:"check" description:"check the settings, print every finding with its place, and exit"`
+	MetricsPort uint16  `long:"metrics-port" default:"9464" value-name:"PORT" description:"port of the metrics, at the host's IP"`
+	Crossing    string  `long:"crossing" default:"auto" choice:"fixed" choice:"learned" choice:"auto" description:"how requests leave the data centre: by fixed penalties, by learned costs, or learned where the terms name places"`
+	LinkMbit    float64 `long:"link-mbit" default:"30" value-name:"MBIT" description:"rate of the link to the other region in each direction that requests may use, in Mbit/s"`
+	Check       bool    `long:"check" description:"check the settings, print every finding with its place, and exit"`
 }
 
 func main() { os.Exit(run()) }
@@ -59,7 +64,7 @@
 		fmt.Println("settings are good")
 		return daemon.ExitOK
 	}
-	return serve(settings, opts.MetricsPort, hangups)
+	return serve(settings, opts, hangups)
 }
 
 func printFindings(err error) {
@@ -71,13 +76,15 @@
 	fmt.Fprintf(os.Stderr, "%v (the variable %s names the settings file)\n", err, platform.SettingsVariable)
 }
 
-func serve(s *platform.Settings, metricsPort uint16, hangups <-chan os.Signal) int {
+func serve(s *platform.Settings, opts options, hangups <-chan os.Signal) int {
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.Memory)))
 	logger := kernel.NewJSONLogger("entry", hclog.Info, os.Stdout)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	if err := entry.New(s, metricsPort, hangups, logger).Run(ctx); err != nil {
+	node := entry.New(s, opts.MetricsPort, hangups, logger)
+	node.SetCrossing(entry.Crossing{Mode: entry.CrossingMode(opts.Crossing), LinkBytesPerSecond: opts.LinkMbit * bytesPerMbit})
+	if err := node.Run(ctx); err != nil {
 		logger.Error("daemon failed", "error", err)
 		return daemon.ExitFailed
 	}
--- a/internal/entry/events.go
+++ b/internal/entry/events.go
@@ -34,6 +34,9 @@
 	evWarm             = kernel.RegisterEvent(6021, hclog.Info, "target counts as warm again")
 	evReserve          = kernel.RegisterEvent(6023, hclog.Info, "capacity reserved for more urgent requests begins or ends")
 
+	evLeavingBegins = kernel.RegisterEvent(6034, hclog.Info, "requests of a route begin to leave the data centre")
+	evLeavingEnds   = kernel.RegisterEvent(6035, hclog.Info, "requests of a route leave the data centre no more")
+
 	evAnswered = kernel.RegisterEvent(6100, hclog.Info, "request answered by a target")
 	evRefused  = kernel.RegisterEvent(6101, hclog.Info, "request refused: not run")
 	evUnknown  = kernel.RegisterEvent(6102, hclog.Warn, "request ended without an answer: it may have run")
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -239,6 +239,7 @@
 		c.outbound.connectWithin = coldConnectTime
 	}
 	t := c.node.exchange(sendCtx, c.outbound, a.Target, c.deadline-steadyClock())
+	c.recordCrossing(a, t)
 	c.service.finish(a, t.took, t.result, t.pause)
 	c.node.counters.countTry(t.result)
 	c.recordOutcome(a.Target, t)
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -28,6 +28,7 @@
 	})
 	gauge("mangopost_entry_cold_targets", func() float64 { return float64(n.countColdTargets()) })
 	gauge("mangopost_entry_data_centres_evacuated", func() float64 { return float64(n.evacuationCount()) })
+	gauge("mangopost_entry_link_bytes_per_second", func() float64 { return n.link.Sent(steadyClock()) })
 	gauge("mangopost_entry_store_age_seconds", func() float64 { return n.storeAge().Seconds() })
 	gauge("mangopost_entry_store_calls_total", func() float64 { return float64(n.store.Calls()) })
 	gauge("mangopost_entry_log_dropped_total", func() float64 { return float64(n.log.Dropped()) })
@@ -89,6 +90,14 @@
 	c.set.GetOrCreateCounter(fmt.Sprintf(`mangopost_entry_refused_reserved_total{service=%q}`, service)).Inc()
 }
 
+// countSent counts a request that was sent to a target, and the bytes of its body and its
+// answer, by the target's distance and the reason for it.
+func (c *counters) countSent(service string, a pool.Action, bytes int) {
+	labels := fmt.Sprintf(`{service=%q,distance=%q,reason=%q}`, service, a.Distance.String(), a.CrossReason)
+	c.set.GetOrCreateCounter(`mangopost_entry_sends_total` + labels).Inc()
+	c.set.GetOrCreateCounter(`mangopost_entry_sent_bytes_total` + labels).Add(bytes)
+}
+
 func (c *counters) countQuarantined() {
 	c.set.GetOrCreateCounter(`mangopost_entry_requests_quarantined_total`).Inc()
 }
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -22,6 +22,7 @@
 	"github.com/mangopost/mangopost/ownership/keyrange"
 	"github.com/mangopost/mangopost/platform"
 	"github.com/mangopost/mangopost/routing"
+	"github.com/mangopost/mangopost/routing/crossing"
 )
 
 const (
@@ -68,6 +69,8 @@
 	reportNow       chan struct{} // requests a report before the next one is due
 	reportFailed    atomic.Bool   // the coordinator did not answer the last report
 	hostCount       atomic.Int64  // hosts that report to the coordinator
+	crossing        Crossing      // set before the node runs
+	link            crossing.Link // to the other region
 	coldHosts       coldHosts     // hosts that may send to cold targets
 	lastStoreAnswer atomic.Int64  // time of the store's last answer, on steadyClock
 
@@ -185,6 +188,7 @@
 			n.quarantine.forgetOld()
 			n.updateCold()
 			n.logReserves()
+			n.updateCrossing()
 			if now := n.isReady(); now != ready {
 				ready = now
 				n.log.Emit(evReady, "ready", ready)
@@ -261,7 +265,7 @@
 	}
 	for name, s := range t.Services {
 		if old := n.services[name]; old == nil || old.keyed != s.Keyed {
-			n.services[name] = newService(s, n.newRetryBudget(), hashFraction(n.settings.Load().Host), n.reservesUrgent(), n.guard)
+			n.services[name] = newService(s, n.newRetryBudget(), hashFraction(n.settings.Load().Host), n.reservesUrgent(), n.crossingConfig(), n.guard)
 		}
 	}
 	for name, s := range t.Services {
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -33,9 +33,11 @@
 
 // newService returns a service without targets. With reserveUrgent, capacity is reserved
 // for its more urgent requests.
-func newService(s routing.Service, budget *routing.SlidingBudget, phase float64, reserveUrgent bool, guard func(string, func())) *service {
+func newService(s routing.Service, budget *routing.SlidingBudget, phase float64, reserveUrgent bool, leaving pool.CrossingConfig,
+	guard func(string, func()),
+) *service {
 	cfg := pool.DefaultConfig
-	cfg.Keyed, cfg.AdmitPhase, cfg.ReserveUrgent = s.Keyed, phase, reserveUrgent
+	cfg.Keyed, cfg.AdmitPhase, cfg.ReserveUrgent, cfg.Crossing = s.Keyed, phase, reserveUrgent, leaving
 	return &service{
 		name:     s.Name,
 		keyed:    s.Keyed,
--- a/routing/crossing/crossing_test.go
+++ b/routing/crossing/crossing_test.go
@@ -184,3 +184,21 @@
 	assert.Assert(t, s.Value(40*time.Second) < 0.32, "%v", s.Value(40*time.Second))
 	assert.Assert(t, left > 480, "%d of 500 that should leave do", left)
 }
+
+// Guards against hosts whose part at home is taken by what other data centres send there.
+func TestPartIsAtLeastEven(t *testing.T) {
+	p := crossing.NewPart(0)
+	assert.Assert(t, p.Allows(1000), "without reports there is no limit")
+	for range 20 {
+		p.Report(1, 35, 40, 10)
+	}
+	assert.Assert(t, p.IsScarce() && p.Allows(3) && !p.Allows(4), "%v", p.Limit())
+	for range 60 {
+		p.Report(10, 28, 40, 10)
+	}
+	assert.Assert(t, p.Allows(9) && !p.Allows(10), "%v", p.Limit())
+	for range 20 {
+		p.Report(10, 5, 40, 10)
+	}
+	assert.Assert(t, !p.IsScarce() && p.Allows(30))
+}
