Use the load that targets report in the choice of a target

Server-Load was read nowhere. A host hears from each of 67 targets about every two seconds, and what all hosts learn alike made them all choose the same target: with half of the slots free, 20 of 100 requests were late.

admission/loadreport estimates from the last report, by its age, what other hosts run and wait at a target and how slow it is, and stops believing a target whose answers contradict its reports. The pool uses the estimate in hasRoom and in the cost, keeps requests off a target that just reported that it is full, and draws among targets where they report. Targets that do not report are used as before. Event MP6024, mangopost_entry_load_reports_total.

--- a/admission/pool/pool.go
+++ b/admission/pool/pool.go
@@ -62,6 +62,7 @@
 	serviceTime    smoothedDuration     // over all targets
 	retrySchedule  retrySchedule        // of an unkeyed service
 	urgency        *urgency             // nil without Config.ReserveUrgent
+	lastReport     time.Duration        // time of the last load report of a target; 0: none
 
 	hostCount      int     // hosts that have requests for the targets; 0: not known
 	sheddingRate   float64 // smoothed fraction of requests shed although a slot seemed free, over all targets
--- a/admission/pool/routecost.go
+++ b/admission/pool/routecost.go
@@ -10,15 +10,32 @@
 // it is chosen.
 const choiceSharpness = 3.0
 
-// costAt returns the cost of running r at a target. If requests of several priorities
-// arrive, it is the cost of this route's work, and the target with the least cost is
-// not the same at all hosts: hosts that all send to the target that looks best would
-// fill its queue before they learn of each other's requests.
+// costAt returns the cost of running r at a target: if requests of several priorities
+// arrive, that of this route's work. There, and where targets report their load, the
+// target with the least cost is not the same at all hosts: hosts that all send to the
+// target that looks best would fill its queue before they learn of each other's requests.
 func (p *Pool) costAt(now time.Duration, t *target, r Request) float64 {
-	if !p.urgency.isActive() {
+	switch {
+	case p.urgency.isActive():
+		return p.drawnCost(p.routeCost(now, t, r), t, r)
+	case p.usesReports(now):
+		return p.drawnCost(t.expectedCost(now, p.cfg), t, r)
+	default:
 		return t.expectedCost(now, p.cfg)
 	}
-	load := (float64(t.running) + t.othersRunning) / t.slotCount()
+}
+
+// drawnCost returns a draw with which the target is chosen with a probability that falls
+// with its cost.
+func (p *Pool) drawnCost(cost float64, t *target, r Request) float64 {
+	return math.Pow(cost, choiceSharpness) * -math.Log(p.draw(t, r))
+}
+
+// routeCost returns the expected time of r at a target in seconds, increased for the risk
+// of failure and for the distance.
+func (p *Pool) routeCost(now time.Duration, t *target, r Request) float64 {
+	e := t.estimate(now)
+	load := (float64(t.running) + e.Others) / t.slotCount()
 	if r.Priority < p.urgency.least && p.reservedAt(now, t, p.urgency.least) == 0 {
 		load = max(load, assumedLoad)
 	}
@@ -27,9 +44,8 @@
 	if load >= 1 {
 		cost += p.urgency.meanWork * (load - 1 + 1/t.slotCount())
 	}
-	cost *= t.slownessAt(now) * (1 + failureCostFactor*t.failureRate)
-	cost += p.cfg.DistancePenalty[t.Distance].Seconds()
-	return math.Pow(cost, choiceSharpness) * -math.Log(p.draw(t, r))
+	cost *= t.slownessAt(now) * e.Pace * (1 + failureCostFactor*t.failureRate)
+	return cost + p.cfg.DistancePenalty[t.Distance].Seconds()
 }
 
 // assumedLoad is the load, in requests per slot, that an urgent request is assumed to
--- a/admission/pool/simulation_test.go
+++ b/admission/pool/simulation_test.go
@@ -5,9 +5,12 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
+	"github.com/mangopost/mangopost/admission/loadreport"
 	"github.com/mangopost/mangopost/admission/pool"
+	"github.com/mangopost/mangopost/ownership/keyrange"
 	"github.com/mangopost/mangopost/placement/demand"
 )
 
@@ -28,9 +31,11 @@
 	slots          int
 	slowPart       float64 // part of the targets that run at a third of their speed, for 0.4 s each
 	duration       time.Duration
+	keyed          bool // every target owns the same number of keys, which are equally frequent
 	routes         []simRoute
 	configure      func(*pool.Config)
-	onAnswer       func(p *pool.Pool, a pool.Action, load simLoad) // at the host, before Finish
+	say            func(target int, load loadreport.Load) loadreport.Load // what a target says of its load; nil: nothing
+	reportAge      time.Duration                                          // how long before the answer it was so
 
 	now     time.Duration
 	events  simEvents
@@ -57,11 +62,6 @@
 
 var simSpeeds = [...]float64{0.6, 1, 1.4}
 
-type simLoad struct {
-	running, waiting, slots int
-	pace                    float64
-}
-
 type simTarget struct {
 	name    string
 	index   int
@@ -168,12 +168,17 @@
 	if s.configure != nil {
 		s.configure(&cfg)
 	}
+	cfg.Keyed = s.keyed
 	p := pool.New(cfg)
 	var targets []pool.Target
+	var owners []keyrange.Owner
 	for _, t := range s.states {
 		added := target(t.name, s.slots, distance(h, t.index))
 		added.DataCentre = fmt.Sprint(dataCentre(t.index))
-		targets = append(targets, added)
+		targets, owners = append(targets, added), append(owners, added.Owner)
+	}
+	if s.keyed {
+		p.SetOwners(keyrange.New("s", owners, slices.Repeat([]float64{1}, len(owners))))
 	}
 	p.SetTargets(0, targets)
 	p.SetHostCount(s.hosts)
@@ -210,6 +215,9 @@
 	req := &simRequest{route: r, host: h, Request: pool.Request{
 		ID: s.lastID, Priority: r.priority, Route: r.name, Arrived: s.now, Goal: s.now + r.goal, Deadline: s.now + r.deadline,
 	}}
+	if s.keyed {
+		req.Key = s.rand.IntN(keyrange.MaxKey + 1)
+	}
 	if s.now > simWarmUp {
 		s.results[r.name].arrived++
 	}
@@ -285,21 +293,27 @@
 }
 
 func (s *simulation) answer(t *simTarget, req *simRequest, a pool.Action, sent time.Duration, result pool.Result) {
-	load := simLoad{running: t.running, waiting: len(t.queue), slots: s.slots, pace: 1}
-	if s.isSlow(t, s.now) {
-		load.pace = simSlowFactor
+	var load loadreport.Load
+	if s.say != nil {
+		load = loadreport.Load{Running: t.running, Waiting: len(t.queue), Slots: s.slots, Pace: 1}
+		if s.isSlow(t, s.now) {
+			load.Pace = simSlowFactor
+		}
+		load = s.say(t.index, load)
 	}
 	s.after(oneWay(req.host, t.index), func() { s.finish(req, a, sent, result, load) })
 }
 
 // finish handles an answer that arrives at the host.
-func (s *simulation) finish(req *simRequest, a pool.Action, sent time.Duration, result pool.Result, load simLoad) {
+func (s *simulation) finish(req *simRequest, a pool.Action, sent time.Duration, result pool.Result, load loadreport.Load) {
 	p := s.pools[req.host]
-	if s.onAnswer != nil {
-		s.onAnswer(p, a, load)
-	}
 	p.RecordWork(a, s.now-sent, result)
 	p.Finish(s.now, a.Target, s.now-sent, result)
+	if s.reportAge == 0 {
+		p.RecordLoad(s.now, a, load, s.now-sent, result)
+	} else {
+		s.after(s.reportAge, func() { p.RecordLoad(s.now, a, load, s.now-sent-s.reportAge, result) })
+	}
 	counted := s.results[req.route.name]
 	switch {
 	case result == pool.Shed && len(req.TriedTargets)+1 < simMaxTries:
--- a/admission/pool/target.go
+++ b/admission/pool/target.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/mangopost/mangopost/admission/loadreport"
 )
 
 const (
@@ -69,6 +71,7 @@
 	coldUntil           time.Duration
 	pausedUntil         time.Duration // the target wants no request from this host before this time
 
+	reports          loadreport.Target
 	nameHash         uint64
 	reserveRank      float64          // place in the order in which targets are reserved, from 0 to 1
 	slotsBefore      float64          // slots of the targets before it in that order
@@ -106,13 +109,13 @@
 		return t.running < max(1, int(t.hostShare)) && now >= t.nextStart
 	}
 	if t.running == 0 {
-		return true
+		return !t.isReportedFull(now, t.capacity(backlog))
 	}
 	running := float64(t.running + 1)
 	if capacity := t.capacity(backlog); hosts > 1 && running > max(1, math.Ceil(evenShareFactor*capacity/float64(hosts))) {
 		return false
 	}
-	return running <= t.window && running+t.othersRunning <= t.capacity(backlog)
+	return running <= t.window && running+t.estimate(now).Others <= t.capacity(backlog)
 }
 
 // admitNext reports whether one more request for the target's keys may be sent.
@@ -154,8 +157,9 @@
 // for the risk of failure and for the distance.
 func (t *target) expectedCost(now time.Duration, cfg Config) float64 {
 	slots := float64(max(1, t.Slots))
-	load := (float64(t.running) + t.othersRunning) / slots
-	serviceTime := t.serviceTime.value.Seconds()
+	e := t.estimate(now)
+	load := (float64(t.running) + e.Others) / slots
+	serviceTime := t.serviceTime.value.Seconds() * e.Pace
 	if now < t.coldUntil && t.serviceTime.samples < 3 {
 		serviceTime *= coldFactor
 	}
--- a/admission/pool/urgent.go
+++ b/admission/pool/urgent.go
@@ -250,7 +250,7 @@
 		}
 	}
 	slices.SortFunc(order, func(a, b *target) int {
-		return cmp.Or(cmp.Compare(a.DataCentre, b.DataCentre), cmp.Compare(a.nameHash, b.nameHash), cmp.Compare(a.Owner.Target, b.Owner.Target))
+		return cmp.Or(cmp.Compare(a.nameHash, b.nameHash), cmp.Compare(a.Owner.Target, b.Owner.Target))
 	})
 	sizes, index := make(map[string]float64), make(map[string]float64)
 	for _, t := range order {
@@ -295,11 +295,14 @@
 // what the others run there is known late, and its slots would be idle until the next
 // report.
 func (p *Pool) mayUse(now time.Duration, t *target, r Request) bool {
-	if !p.urgency.isActive() || p.cfg.Keyed && t.running == 0 {
+	if !p.urgency.isActive() {
+		return true
+	}
+	reserved, e := p.reservedAt(now, t, r.Priority), t.estimate(now)
+	if reserved == 0 || p.cfg.Keyed && t.running == 0 && !e.Decides {
 		return true
 	}
-	reserved := p.reservedAt(now, t, r.Priority)
-	return reserved == 0 || float64(t.running+1)+t.othersRunning <= t.slotCount()-reserved
+	return !e.Waiting && float64(t.running+1)+e.Others <= t.slotCount()-reserved
 }
 
 // exceedsPart reports whether this host runs its part of the capacity that is left for
--- a/admission/pool/urgent_test.go
+++ b/admission/pool/urgent_test.go
@@ -28,13 +28,17 @@
 
 // simulateRecords runs 59 hosts with short urgent and long less urgent requests.
 func simulateRecords(targets int, urgent, lessUrgent rate, reserve bool) (record, history *simResult) {
-	s := simulation{hosts: 59, targets: targets, slots: 6, slowPart: 0.2, duration: 16 * time.Second, routes: []simRoute{
+	results := recordsSimulation(targets, urgent, lessUrgent, reserve).run(1)
+	return results["patient-record"], results["history-pull"]
+}
+
+func recordsSimulation(targets int, urgent, lessUrgent rate, reserve bool) *simulation {
+	s := &simulation{hosts: 59, targets: targets, slots: 6, slowPart: 0.2, duration: 16 * time.Second, routes: []simRoute{
 		{name: "patient-record", priority: 0, rate: urgent, work: 68 * ms, goal: 250 * ms, deadline: 1500 * ms},
 		{name: "history-pull", priority: 2, rate: lessUrgent, work: 420 * ms, goal: 2500 * ms, deadline: 6 * time.Second},
 	}}
 	s.configure = func(c *pool.Config) { c.ReserveUrgent = reserve }
-	results := s.run(1)
-	return results["patient-record"], results["history-pull"]
+	return s
 }
 
 // Bursts of long, less urgent requests fill the queues of all targets, because each of
@@ -179,6 +183,26 @@
 	}
 }
 
+// Keys decide on the target, and what 59 hosts run at an owner is known late: a reserve
+// that follows the late figures leaves owners idle (in time 0.58 instead of 0.83).
+func TestReserveCostsKeyedServiceLittle(t *testing.T) {
+	inTime := func(reserve bool, says say) (share [2]float64) {
+		s := simulation{hosts: 59, targets: 67, slots: 6, slowPart: 0.2, duration: 12 * time.Second, keyed: true, say: says, routes: []simRoute{
+			{name: "patient-record", priority: 0, rate: constant(140), work: 68 * ms, goal: 250 * ms, deadline: 1500 * ms},
+			{name: "slot-lookup", priority: 1, rate: constant(1160), work: 170 * ms, goal: 600 * ms, deadline: 2 * time.Second},
+		}}
+		s.configure = func(c *pool.Config) { c.ReserveUrgent = reserve }
+		results := s.run(1)
+		return [2]float64{results["patient-record"].goodShare(), results["slot-lookup"].goodShare()}
+	}
+	without := inTime(false, nil)
+	for name, says := range map[string]say{"no reports": nil, "reports": truth} {
+		with := inTime(true, says)
+		t.Logf("%s: urgent %.3f, before %.3f; less urgent %.3f, before %.3f", name, with[0], without[0], with[1], without[1])
+		assert.Assert(t, with[0] > without[0]-0.02 && with[1] > without[1]-0.02)
+	}
+}
+
 // The owner of a key keeps slots free of less urgent requests of a host that has some.
 func TestOwnerKeepsSlotsForUrgentRequests(t *testing.T) {
 	count := func(reserve bool) (started int) {
--- a/internal/entry/events.go
+++ b/internal/entry/events.go
@@ -30,6 +30,8 @@
 
 	evReserve = kernel.RegisterEvent(6023, hclog.Info, "capacity reserved for more urgent requests begins or ends")
 
+	evLoadReports = kernel.RegisterEvent(6024, hclog.Warn, "load reports of a target begin or cease to count")
+
 	evAnswered = kernel.RegisterEvent(6100, hclog.Info, "request answered by a target")
 	evRefused  = kernel.RegisterEvent(6101, hclog.Info, "request refused: not run")
 	evUnknown  = kernel.RegisterEvent(6102, hclog.Warn, "request ended without an answer: it may have run")
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -79,6 +79,7 @@
 
 	leaving bool          // the target said that it is leaving
 	pause   time.Duration // that the target asked for
+	load    platform.Load // that the target reported
 }
 
 // release returns the memory of the answer, which must not be used any more.
@@ -164,7 +165,7 @@
 	reply := routing.Reply{Sent: true, Status: ans.status, IDMatches: true, SaysNotRun: headers.NotRun}
 	return attempt{
 		reply: reply, answer: ans, result: resultOfAnswer(ans.status, headers), isReusable: reusable && bodyWritten(written),
-		leaving: headers.Leaving, pause: headers.Pause,
+		leaving: headers.Leaving, pause: headers.Pause, load: headers.Load,
 	}
 }
 
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -14,6 +14,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/mangopost/mangopost/admission/loadreport"
 	"github.com/mangopost/mangopost/admission/pool"
 	"github.com/mangopost/mangopost/kernel"
 	"github.com/mangopost/mangopost/membership/directory"
@@ -233,7 +234,8 @@
 		sendCtx = context.WithoutCancel(ctx)
 	}
 	t := c.node.exchange(sendCtx, c.outbound, a.Target, c.deadline-steadyClock())
-	c.service.finish(a, t.took, t.result, t.pause)
+	trust := c.service.finish(a, t)
+	c.recordLoad(a, t, trust)
 	c.node.counters.countTry(t.result)
 	c.recordOutcome(a.Target, t)
 	if t.pause > 0 {
@@ -246,6 +248,18 @@
 	return t
 }
 
+// recordLoad counts a target's load report, and logs if its reports begin or cease to
+// count.
+func (c *call) recordLoad(a pool.Action, t attempt, trust loadreport.Change) {
+	if t.load.Slots > 0 {
+		c.node.counters.countLoadReport(c.service.name)
+	}
+	if trust != loadreport.Unchanged {
+		c.node.log.EmitFields(evLoadReports, append(c.attemptFields(a, t), kernel.String("trusted", strconv.FormatBool(trust == loadreport.Regained)),
+			kernel.Int("running", int64(t.load.Running)), kernel.Int("waiting", int64(t.load.Waiting)), kernel.Int("slots", int64(t.load.Slots)))...)
+	}
+}
+
 // deliverFinal passes a target's answer to the caller if it is the final one, and
 // reports whether it did.
 func (c *call) deliverFinal(a pool.Action, t attempt) bool {
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -77,6 +77,10 @@
 	c.set.GetOrCreateCounter(fmt.Sprintf(`mangopost_entry_refused_reserved_total{service=%q}`, service)).Inc()
 }
 
+func (c *counters) countLoadReport(service string) {
+	c.set.GetOrCreateCounter(fmt.Sprintf(`mangopost_entry_load_reports_total{service=%q}`, service)).Inc()
+}
+
 func (c *counters) countQuarantined() {
 	c.set.GetOrCreateCounter(`mangopost_entry_requests_quarantined_total`).Inc()
 }
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/mangopost/mangopost/admission/loadreport"
 	"github.com/mangopost/mangopost/admission/pool"
 	"github.com/mangopost/mangopost/placement/demand"
 	"github.com/mangopost/mangopost/routing"
@@ -118,19 +119,22 @@
 	s.deliver(s.pool.Drain(steadyClock()))
 }
 
-// finish records the result of a request that was started, and the pause that its
-// target asked for.
-func (s *service) finish(a pool.Action, took time.Duration, result pool.Result, pause time.Duration) {
+// finish records the outcome of a request that was started, with the pause that its
+// target asked for and the load that it reported. It returns whether the target's load
+// reports count as before.
+func (s *service) finish(a pool.Action, t attempt) (trust loadreport.Change) {
 	s.updatePool(func(p *pool.Pool) {
-		p.Pause(steadyClock(), a.Target, pause)
-		if result == pool.NotOwner {
+		p.Pause(steadyClock(), a.Target, t.pause)
+		if t.result == pool.NotOwner {
 			p.RecordNotHeld(steadyClock(), a.Fence)
 		} else {
 			p.RecordHeld(a.Fence)
 		}
-		p.RecordWork(a, took, result)
-		p.Finish(steadyClock(), a.Target, took, result)
+		p.RecordWork(a, t.took, t.result)
+		p.Finish(steadyClock(), a.Target, t.took, t.result)
+		trust = p.RecordLoad(steadyClock(), a, loadreport.Load(t.load), t.took, t.result)
 	})
+	return trust
 }
 
 // reserveChange returns the slots that are reserved for more urgent requests, and whether
