--- a/docs/layers_test.go
+++ b/docs/layers_test.go
@@ -19,7 +19,7 @@
 	"lease", "ownership", "membership", "placement", "admission", "dedup",
 	"routing", "template", "maintenance", "finding", "finding/tomldoc",
 	"lease/coordinator", "ownership/keyrange", "ownership/grants", "placement/hotrange", "placement/demand",
-	"admission/pool", "membership/directory", "membership/mirror", "membership/aggregators",
+	"admission/pool", "membership/directory", "membership/mirror", "membership/aggregators", "lease/era",
 }
 
 // forbiddenImports are the import paths that a decision package must not use,
