The coordinator's role ends with the store's era

A restored lease record may be older than the last one, may show that the role was resigned or was this host's, or may be gone, while the last holder's term still runs. Records now carry their era: in a new era the role ends at once and is taken only Term and Margin after the record, or its absence, was seen in it, and the predecessor counts as unknown.

TestAtMostOneCoordinator now restores the store and restarts processes; GOMAXPROCS=2 go test -p 2 ./lease/coordinator -rapid.checks=3000: ok. It fails for three mutants: trusting records of an earlier era for shortcuts, taking a missing record at once, and trusting an earlier era's resignation.

--- a/lease/coordinator/coordinator.go
+++ b/lease/coordinator/coordinator.go
@@ -6,9 +6,19 @@
 // acknowledged; another host takes the record only after it has seen it unchanged for
 // Term and Margin. As a renewal is seen after it was sent, two hosts never hold the
 // role at once. All times are readings of a clock that also counts suspended time.
+//
+// Versions are those of package era. A store that comes back from an older copy may show
+// an earlier record than the last one, or none. Whoever held the role then sent its last
+// acknowledged renewal before the return, and so before any host sees the new era. In a
+// new era the role therefore ends at once, and is taken only Term and Margin after what
+// the store shows was first seen in that era, whatever the record says.
 package coordinator
 
-import "time"
+import (
+	"time"
+
+	"github.com/mangopost/mangopost/lease/era"
+)
 
 // Timing holds the time constants of the lease.
 type Timing struct {
@@ -33,11 +43,14 @@
 	// when its unanswered grants may be applied, both in milliseconds from the write.
 	EndMs     int64 `json:"end_ms,omitempty"`
 	UnclearMs int64 `json:"unclear_ms,omitempty"`
+	// Era is the era of the store in which the record was written. A record of an earlier
+	// era than its version proves nothing about the last holder.
+	Era uint64 `json:"era,omitempty"`
 }
 
 // Write is a conditional update to make.
 type Write struct {
-	Expected uint64 // version; 0 means that the object must not exist
+	Expected uint64 // version; one of revision 0 means that the object must not exist
 	Record   Record
 }
 
@@ -55,6 +68,8 @@
 	waitingForStore bool // no write is sent until the store answers again
 	nextTry         time.Duration
 	stagger         time.Duration
+	era             uint64 // latest known era of the store
+	wasRestored     bool   // the store has come back from an older copy before
 
 	predecessor       Record // record that this host took over from
 	predecessorSeenAt time.Duration
@@ -63,16 +78,36 @@
 // New returns the view of a host that has not read the record yet.
 func New(self Record, timing Timing) *Election { return &Election{self: self, timing: timing} }
 
-// Observe applies the record as it was read from the store. Version 0 means that it
-// does not exist.
+// ObserveEra records that the store is in an era. If it is a later one than was known,
+// the role ends, and the record must be read again.
+func (e *Election) ObserveEra(named uint64) {
+	if named <= e.era {
+		return
+	}
+	// A process that has read nothing before cannot tell whether the store was restored
+	// just now. The first era that a store names is taken for one without a restore.
+	e.wasRestored = e.wasRestored || e.hasRead || named > firstEra
+	e.era, e.version = named, era.Version(named, 0)
+	e.holds, e.hasRead = false, false
+}
+
+// firstEra is the era of a store that was never restored, if it names one.
+const firstEra = 1
+
+// Era returns the latest known era of the store.
+func (e *Election) Era() uint64 { return e.era }
+
+// Observe applies the record as it was read from the store. A version of revision 0
+// means that it does not exist.
 func (e *Election) Observe(now time.Duration, version uint64, r Record) {
 	e.StoreAnswered(now)
-	if e.hasRead && version <= e.version {
+	e.ObserveEra(era.Of(version))
+	if era.Of(version) < e.era || e.hasRead && version <= e.version {
 		return
 	}
 	e.hasRead = true
 	e.version, e.seen, e.seenAt = version, r, now
-	if r.Holder != e.self.Holder || r.Run != e.self.Run {
+	if !e.isOwnRecord() {
 		e.holds = false
 	}
 }
@@ -98,19 +133,27 @@
 	switch {
 	case e.isOwnTerm() && now < e.sentAt+e.timing.Renew:
 		return Write{}, false
-	case !e.isOwnTerm() && e.version != 0 && now < e.seenAt+e.takeoverDelay():
+	case !e.isOwnTerm() && now < e.seenAt+e.takeoverDelay():
 		return Write{}, false
 	}
 	e.pending = true
 	record := e.self
-	record.Number = e.seen.Number + 1
+	record.Number, record.Era = e.seen.Number+1, e.era
 	return Write{Expected: e.version, Record: record}, true
 }
 
 func (e *Election) isOwnRecord() bool {
-	return e.seen.Holder == e.self.Holder && e.seen.Run == e.self.Run && e.version != 0
+	return e.seen.Holder == e.self.Holder && e.seen.Run == e.self.Run && !e.isMissing() && e.isOfEra(e.seen)
 }
 
+// isMissing reports whether the record does not exist.
+func (e *Election) isMissing() bool { return e.version == era.Version(e.era, 0) }
+
+// isOfEra reports whether a record was written in the current era. Another one may be
+// older than the last record of the era before, also if it replaced that of the current
+// holder because its write was conditional on a revision that was given out again.
+func (e *Election) isOfEra(r Record) bool { return r.Era == e.era }
+
 // isOwnTerm reports whether the record names this process as the holder and the role is
 // not resigned.
 func (e *Election) isOwnTerm() bool { return e.isOwnRecord() && !e.seen.Resigned }
@@ -118,6 +161,10 @@
 // takeoverDelay returns how long after the record was first seen this host may take it.
 func (e *Election) takeoverDelay() time.Duration {
 	switch {
+	case e.isMissing() && !e.wasRestored:
+		return 0
+	case e.isMissing() || !e.isOfEra(e.seen):
+		return e.timing.Term + e.timing.Margin + e.stagger
 	case e.seen.Resigned && e.isOwnRecord():
 		return e.timing.Term + e.timing.Margin + e.timing.Yield
 	case e.seen.Resigned:
@@ -139,12 +186,16 @@
 // version.
 func (e *Election) Acknowledged(now, sentAt time.Duration, version uint64, w Write) {
 	e.pending = false
-	if version <= e.version {
+	e.ObserveEra(era.Of(version))
+	if version <= e.version || w.Record.Era != e.era {
 		return
 	}
 	// A role that has lapsed meanwhile is taken anew, also from this host itself.
 	if !e.Holds(now) {
 		e.predecessor, e.predecessorSeenAt = e.seen, e.seenAt
+		if !e.isOfEra(e.seen) {
+			e.predecessor = Record{} // unknown: it may not be that of the record
+		}
 	}
 	e.version, e.seen, e.seenAt = version, w.Record, now
 	if w.Record.Resigned {
@@ -169,7 +220,7 @@
 	}
 	e.pending, e.holds = true, false
 	record := e.self
-	record.Number = e.seen.Number + 1
+	record.Number, record.Era = e.seen.Number+1, e.era
 	record.Resigned, record.EndMs, record.UnclearMs = true, ceilMillis(end), ceilMillis(unclear)
 	return Write{Expected: e.version, Record: record}, true
 }
--- a/lease/coordinator/coordinator_test.go
+++ b/lease/coordinator/coordinator_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/mangopost/mangopost/lease/coordinator"
+	"github.com/mangopost/mangopost/lease/era"
 )
 
 var timing = coordinator.Timing{Term: 2500 * time.Millisecond, Margin: 400 * time.Millisecond, Renew: 800 * time.Millisecond, Yield: time.Second}
@@ -168,13 +169,99 @@
 	assert.Equal(t, e.LastRecord().Holder, "h3")
 }
 
+const firstEra = 1
+
+// observeInEra2 lets a host that has seen a record in the first era see another one, or
+// none, in the second.
+func observeInEra2(e *coordinator.Election, now time.Duration, revision uint64, r coordinator.Record) {
+	first := record(3)
+	first.Era = firstEra
+	e.Observe(0, era.Version(firstEra, 7), first)
+	e.Observe(now, era.Version(2, revision), r)
+}
+
+// The last holder before a restore may run for another Term, also where the store shows
+// that the role was resigned, that this host had it, or nothing.
+func TestRestoredRecordProvesNothing(t *testing.T) {
+	own, resigned, previousRun := record(2), record(1), record(2)
+	resigned.Resigned, previousRun.Run = true, 99
+	for name, shown := range map[string]struct {
+		revision uint64
+		record   coordinator.Record
+	}{
+		"another holder": {5, record(1)}, "resigned": {5, resigned}, "own": {5, own}, "previous run": {5, previousRun}, "none": {0, coordinator.Record{}},
+		"a higher revision": {9, resigned},
+	} {
+		t.Run(name, func(t *testing.T) {
+			shown.record.Era = firstEra
+			e := coordinator.New(own, timing)
+			observeInEra2(e, time.Second, shown.revision, shown.record)
+			_, due := e.Next(time.Second + timing.Term + timing.Margin - ms)
+			assert.Assert(t, !due)
+			now := time.Second + timing.Term + timing.Margin
+			w, due := e.Next(now)
+			assert.Assert(t, due)
+			assert.Equal(t, w.Expected, era.Version(2, shown.revision))
+			assert.Equal(t, w.Record.Era, uint64(2))
+			e.Acknowledged(now, now, era.Version(2, 10), w)
+			assert.Assert(t, e.Holds(now))
+			before, _ := e.Predecessor()
+			assert.Equal(t, before, coordinator.Record{}, "its grants are unknown")
+		})
+	}
+}
+
+// A process that starts after the restore has seen no earlier era, and must wait too.
+func TestNewHostInLaterEra(t *testing.T) {
+	e := coordinator.New(record(2), timing)
+	e.Observe(0, era.Version(2, 0), coordinator.Record{})
+	_, due := e.Next(timing.Term)
+	assert.Assert(t, !due)
+	// Without a restore the role is free at once.
+	e = coordinator.New(record(2), timing)
+	e.Observe(0, era.Version(firstEra, 0), coordinator.Record{})
+	_, due = e.Next(0)
+	assert.Assert(t, due)
+}
+
+// A coordinator ends at once when it hears of a new era, and neither a late answer of the
+// era before nor its own record in the restored store brings the role back.
+func TestRoleEndsWithEra(t *testing.T) {
+	e := coordinator.New(record(1), timing)
+	e.Observe(0, era.Version(firstEra, 0), coordinator.Record{})
+	w, _ := e.Next(0)
+	e.Acknowledged(0, 0, era.Version(firstEra, 7), w)
+	assert.Assert(t, e.Holds(ms))
+	renewal, due := e.Next(timing.Renew)
+	assert.Assert(t, due)
+	e.ObserveEra(2)
+	assert.Assert(t, !e.Holds(timing.Renew))
+	e.Acknowledged(timing.Renew, timing.Renew, era.Version(firstEra, 8), renewal)
+	assert.Assert(t, !e.Holds(timing.Renew))
+	e.Observe(time.Second, era.Version(2, 7), w.Record)
+	assert.Assert(t, !e.Holds(time.Second))
+	_, due = e.Next(time.Second + timing.Term)
+	assert.Assert(t, !due)
+	e.Observe(time.Second, era.Version(firstEra, 9), record(3))
+	assert.Equal(t, e.LastRecord().Holder, "h1", "an answer of an earlier era is ignored")
+}
+
 // model is a store and hosts whose clocks continue while their processes are paused.
 type model struct {
 	now        time.Duration
-	version    uint64
+	era        uint64
+	revision   uint64
 	record     coordinator.Record
+	copies     []copyOfStore
 	hosts      []*host
 	lateWrites []lateWrite
+	runs       int64
+}
+
+// copyOfStore is what the store may come back with.
+type copyOfStore struct {
+	revision uint64
+	record   coordinator.Record
 }
 
 type host struct {
@@ -188,13 +275,36 @@
 	w  coordinator.Write
 }
 
+func (w *model) version() uint64 { return era.Version(w.era, w.revision) }
+
+// put applies a write as the store does, which compares revisions alone: one of an
+// earlier era may match.
 func (w *model) put(write coordinator.Write) (uint64, bool) {
-	if write.Expected != w.version {
+	if era.Revision(write.Expected) != w.revision {
 		return 0, false
 	}
-	w.version++
+	w.copies = append(w.copies, copyOfStore{w.revision, w.record})
+	w.revision++
 	w.record = write.Record
-	return w.version, true
+	return w.version(), true
+}
+
+// restore lets the store come back from one of its last copies, or empty.
+func (w *model) restore(t *rapid.T) {
+	w.era++
+	c := copyOfStore{}
+	if back := rapid.IntRange(0, 6).Draw(t, "writes lost"); back < len(w.copies) {
+		c = w.copies[len(w.copies)-1-back]
+	}
+	w.revision, w.record = c.revision, c.record
+}
+
+// restart replaces a host's process by another one at the same address.
+func (w *model) restart(i int) {
+	self := record(i)
+	w.runs++
+	self.Run = 100 + w.runs
+	w.hosts[i] = &host{Election: coordinator.New(self, timing)}
 }
 
 // step lets one host act, with randomly drawn lost answers, late writes, stale reads
@@ -205,6 +315,12 @@
 		w.put(w.lateWrites[0].w)
 		w.lateWrites = w.lateWrites[1:]
 	}
+	switch rapid.IntRange(0, 59).Draw(t, "event") {
+	case 0:
+		w.restore(t)
+	case 1:
+		w.restart(rapid.IntRange(0, len(w.hosts)-1).Draw(t, "restarted"))
+	}
 	h := w.hosts[rapid.IntRange(0, len(w.hosts)-1).Draw(t, "host")]
 	if w.now < h.pausedUntil {
 		return
@@ -214,7 +330,7 @@
 	}
 	h.unreadAnswers = nil
 	if rapid.IntRange(0, 9).Draw(t, "read") < 7 {
-		h.Observe(w.now, w.version, w.record)
+		h.Observe(w.now, w.version(), w.record)
 	}
 	if write, due := h.Next(w.now); due {
 		w.send(t, h, write)
@@ -242,6 +358,8 @@
 		h.unreadAnswers = append(h.unreadAnswers, func(now time.Duration) { h.Failed(now) })
 	default:
 		version, ok := w.put(write)
+		// The client compares the era of the answer with that of the condition.
+		ok = ok && era.Of(write.Expected) == w.era
 		h.unreadAnswers = append(h.unreadAnswers, func(now time.Duration) {
 			if ok {
 				h.Acknowledged(now, sentAt, version, write)
@@ -254,10 +372,10 @@
 
 // TestAtMostOneCoordinator fails for an election that counts its term from the
 // acknowledgement, takes a record before Term, treats an unanswered write as applied,
-// or applies an older version.
+// applies an older version, or trusts what a restored store shows of the last holder.
 func TestAtMostOneCoordinator(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		w := &model{}
+		w := &model{era: firstEra}
 		for i := range 3 {
 			w.hosts = append(w.hosts, &host{Election: coordinator.New(record(i), timing)})
 		}
