Hosts and the coordinator follow the store's era

Feeds list afresh in a new era and ignore answers of earlier ones; relays carry the era in the versions that they have. The term ends with the era, the next one writes the maps under new fences before it grants anything, and a service whose map may be lost waits for the longest grant. Entries of targets that are missing or older than known are kept while the targets write them again. Events 6030 and 6031, metric mangopost_entry_store_era.

--- a/internal/entry/candidate.go
+++ b/internal/entry/candidate.go
@@ -123,6 +123,7 @@
 func (c *candidate) observeRecord(version uint64, r coordinator.Record) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.observeEra()
 	c.election.Observe(leaseClock(), version, r)
 }
 
@@ -131,16 +132,32 @@
 func (c *candidate) observeListing() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.election.Observe(leaseClock(), 0, coordinator.Record{})
+	c.observeEra()
+	c.election.Observe(leaseClock(), c.node.store.Absent(), coordinator.Record{})
 }
 
 // holdsLease reports whether this host is the coordinator now.
 func (c *candidate) holdsLease() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.observeEra()
 	return c.election.Holds(leaseClock())
 }
 
+// observeEra tells the election in which era the store is. It is called before each
+// question about the lease, so that the role ends as soon as any call of this host, or a
+// relay, has named a later era. mu is held.
+func (c *candidate) observeEra() {
+	named, before := c.node.store.Era(), c.election.Era()
+	if named <= before {
+		return
+	}
+	held := c.election.Holds(leaseClock())
+	if c.election.ObserveEra(named) {
+		c.node.log.Emit(evEra, "era", named, "before", before, "coordinator", held)
+	}
+}
+
 // settledMoves returns, by service, the completed moves that the stored map does
 // not yet record as complete.
 func (c *candidate) settledMoves() map[string][]keyrange.ID {
@@ -183,6 +200,7 @@
 	}
 	for sleep(ctx, electionInterval) {
 		c.mu.Lock()
+		c.observeEra()
 		now := leaseClock()
 		write, due := c.election.Next(now)
 		held := c.election.Holds(now)
@@ -222,6 +240,7 @@
 // after the store accepted a write.
 func (c *candidate) applyAcknowledgement(sentAt time.Duration, version uint64, w coordinator.Write) {
 	c.mu.Lock()
+	c.observeEra()
 	c.election.Acknowledged(leaseClock(), sentAt, version, w)
 	c.mu.Unlock()
 	if value, err := json.Marshal(w.Record); err == nil { // the same bytes as were written
--- a/internal/entry/events.go
+++ b/internal/entry/events.go
@@ -28,6 +28,9 @@
 
 	evLeaving = kernel.RegisterEvent(6016, hclog.Info, "target says that it is leaving")
 
+	evEra      = kernel.RegisterEvent(6030, hclog.Warn, "the store came back from an older copy")
+	evRefenced = kernel.RegisterEvent(6031, hclog.Warn, "owner map of an earlier era of the store put under new fences")
+
 	evAnswered = kernel.RegisterEvent(6100, hclog.Info, "request answered by a target")
 	evRefused  = kernel.RegisterEvent(6101, hclog.Info, "request refused: not run")
 	evUnknown  = kernel.RegisterEvent(6102, hclog.Warn, "request ended without an answer: it may have run")
--- a/internal/entry/feeds.go
+++ b/internal/entry/feeds.go
@@ -9,6 +9,7 @@
 
 	objectstore "github.com/mangopost/mangopost/internal/platform"
 	"github.com/mangopost/mangopost/lease/coordinator"
+	"github.com/mangopost/mangopost/lease/era"
 	"github.com/mangopost/mangopost/membership/directory"
 	"github.com/mangopost/mangopost/membership/mirror"
 	"github.com/mangopost/mangopost/ownership/keyrange"
@@ -75,6 +76,11 @@
 			defer n.mu.Unlock()
 			n.directory.RecordAnswer(steadyClock())
 		},
+		onRestore: func() {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			n.directory.RecordRestore(steadyClock())
+		},
 	}
 }
 
@@ -128,7 +134,7 @@
 	if obj.Deleted {
 		n.directory.Remove(steadyClock(), name)
 		_, isKept := n.directory.Get(name)
-		n.log.Emit(evTargets, "target", name, "service", before.Service, "gone", true, "kept", isKept, "version", obj.Version)
+		n.log.Emit(evTargets, "target", name, "service", before.Service, "gone", true, "kept", isKept, "version", era.Revision(obj.Version))
 		return wasKnown
 	}
 	e, ok := n.decodeTarget(obj)
@@ -141,7 +147,7 @@
 		return false
 	}
 	n.log.Emit(evTargets, "target", name, "service", e.Service, "addr", e.Addr, "data_centre", e.DataCentre,
-		"leaving", e.Leaving, "run", e.Run, "slots", e.Slots, "version", obj.Version)
+		"leaving", e.Leaving, "run", e.Run, "slots", e.Slots, "version", era.Revision(obj.Version))
 	return true
 }
 
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	objectstore "github.com/mangopost/mangopost/internal/platform"
+	"github.com/mangopost/mangopost/lease/era"
 	"github.com/mangopost/mangopost/membership/mirror"
 )
 
@@ -79,6 +80,9 @@
 	// onAnswer, if set, is called when the store has answered, before the answer
 	// is applied.
 	onAnswer func()
+	// onRestore, if set, is called before the first listing of a later era of the store is
+	// applied.
+	onRestore func()
 	// relist makes a watch start with a listing after an interruption.
 	relist bool
 	// awaitsRelay makes a starting host wait for the coordinator first.
@@ -320,12 +324,24 @@
 	ctx, cancel := context.WithTimeout(ctx, wait+callTimeAllowance)
 	defer cancel()
 	batch, err := f.node.store.Watch(ctx, f.prefix, revision)
+	if err == nil {
+		err = f.checkEra(batch)
+	}
 	if err == nil {
 		f.applyBatch(batch, false, 0)
 	}
 	return err
 }
 
+// checkEra returns an error for an answer of an earlier era of the store than is known.
+// The feed then waits as if the store had not answered.
+func (f *feed) checkEra(batch objectstore.Batch) error {
+	if named, known := era.Of(batch.Revision), f.node.store.Era(); named < known {
+		return errors.Newf("answer of era %d of the store, which is in era %d", named, known)
+	}
+	return nil
+}
+
 // relayingWatchWait returns how long a watch of a host waits whose data is relayed: it
 // must answer well before the relayed data is too old.
 func (n *Node) relayingWatchWait() time.Duration {
@@ -346,6 +362,9 @@
 	f.mu.Unlock()
 	if mayBeStale {
 		batch, err := f.node.store.ListStale(ctx, f.prefix)
+		if err == nil {
+			err = f.checkEra(batch)
+		}
 		if err == nil {
 			f.applyBatch(batch, true, staleReadAge)
 		}
@@ -363,6 +382,9 @@
 // listFresh lists the feed from the store as it is now.
 func (f *feed) listFresh(ctx context.Context) error {
 	batch, err := f.node.store.List(ctx, f.prefix)
+	if err == nil {
+		err = f.checkEra(batch)
+	}
 	if err != nil {
 		return err
 	}
@@ -381,12 +403,18 @@
 	if batch.Revision < f.mirror.Revision() || !full && !f.isListed {
 		return
 	}
+	if named := era.Of(batch.Revision); named < f.node.store.Era() || !full && named > era.Of(f.mirror.Revision()) {
+		return // an answer of an earlier era, or changes to objects of one
+	}
 	f.lastAnswer = max(f.lastAnswer, steadyClock()-age)
 	f.node.recordStoreAnswer(f.lastAnswer)
 	if f.onAnswer != nil && age < minRelayAge {
 		f.onAnswer()
 	}
 	f.node.logFaults(batch.Faults)
+	if f.onRestore != nil && f.mirror.Revision() > 0 && era.Of(batch.Revision) > era.Of(f.mirror.Revision()) {
+		f.onRestore()
+	}
 	if full {
 		f.replace(batch.Objects)
 		f.mirror.Replace(batch.Revision, toMirror(batch.Objects))
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -27,6 +27,7 @@
 		return 0
 	})
 	gauge("mangopost_entry_store_age_seconds", func() float64 { return n.storeAge().Seconds() })
+	gauge("mangopost_entry_store_era", func() float64 { return float64(n.store.Era()) })
 	gauge("mangopost_entry_store_calls_total", func() float64 { return float64(n.store.Calls()) })
 	gauge("mangopost_entry_log_dropped_total", func() float64 { return float64(n.log.Dropped()) })
 	gauge("mangopost_entry_log_sampled_out_total", func() float64 { return float64(n.answerSampler.skipped.Load()) })
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -17,6 +17,7 @@
 
 	"github.com/mangopost/mangopost/admission/pool"
 	"github.com/mangopost/mangopost/kernel"
+	"github.com/mangopost/mangopost/lease/era"
 	"github.com/mangopost/mangopost/membership/directory"
 	"github.com/mangopost/mangopost/ownership/keyrange"
 	"github.com/mangopost/mangopost/platform"
@@ -345,7 +346,7 @@
 		n.history.add(service, o)
 	}
 	moving := slices.ContainsFunc(o.keys.Ranges, func(r keyrange.Range) bool { return len(r.Prev) > 0 })
-	n.log.Emit(evOwners, "service", service, "version", o.version, "ranges", len(o.keys.Ranges), "fence", o.keys.Fence, "moving", moving)
+	n.log.Emit(evOwners, "service", service, "version", era.Revision(o.version), "ranges", len(o.keys.Ranges), "fence", o.keys.Fence, "moving", moving)
 	n.updateOwners(service, o)
 }
 
--- a/internal/entry/ownedmap.go
+++ b/internal/entry/ownedmap.go
@@ -8,6 +8,8 @@
 	"github.com/cockroachdb/errors"
 
 	objectstore "github.com/mangopost/mangopost/internal/platform"
+	"github.com/mangopost/mangopost/lease/era"
+	"github.com/mangopost/mangopost/ownership/grants"
 	"github.com/mangopost/mangopost/ownership/keyrange"
 	"github.com/mangopost/mangopost/platform"
 )
@@ -15,9 +17,12 @@
 // ownedMap is an owner map as the store acknowledged it, with the moves completed
 // since.
 type ownedMap struct {
-	keys    *keyrange.Map
-	version uint64
-	settled []keyrange.ID // completed moves that the stored map does not yet record as complete
+	keys *keyrange.Map // nil if there is none
+	// restored is a map of an earlier era of the store, in place of keys: nothing is
+	// granted under its fences.
+	restored *keyrange.Map
+	version  uint64
+	settled  []keyrange.ID // completed moves that the stored map does not yet record as complete
 }
 
 // settle returns a copy of the map with the given moves completed. Moves that are
@@ -52,7 +57,7 @@
 	obj, err := t.node.store.Get(t.ctx, ownersPrefix+service)
 	switch {
 	case errors.Is(err, objectstore.ErrNotFound):
-		t.setMap(service, &ownedMap{})
+		t.setMap(service, &ownedMap{version: era.Version(t.era, 0)})
 		return nil
 	case err != nil:
 		return err
@@ -62,11 +67,41 @@
 		return err
 	}
 	t.recordRead(service, o)
-	t.setMap(service, &ownedMap{keys: o.keys, version: o.version})
+	owned := &ownedMap{keys: o.keys, version: o.version}
+	if o.keys.Fence <= era.FenceFloor(t.era) && t.era > 0 {
+		t.loseTrack(service)
+		owned.keys, owned.restored = nil, o.keys
+	}
+	t.setMap(service, owned)
 	t.node.setOwners(service, o)
 	return nil
 }
 
+// loseTrack prepares for a map of an earlier era. If this term has already tried to write
+// one, a write of before the restore has replaced it, because its condition was a revision
+// that was given out again: the grants of this term are then not those of the map.
+func (t *term) loseTrack(service string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.sentMaps[service] != nil {
+		t.ledger.RaiseFloor(grants.UnknownFloor(leaseClock(), grantTimeout, longGrantHold))
+	}
+}
+
+// refence writes a restored map under fences of this era. Its owners are granted their
+// keys when every grant of before has ended.
+func (t *term) refence(service string, restored *keyrange.Map) error {
+	next := restored.Clone()
+	next.Refence(era.FenceFloor(t.era))
+	if err := t.saveMap(service, next); err != nil {
+		return err
+	}
+	t.recordNewFences(restored.Fence, next)
+	t.node.log.Emit(evRefenced, "service", service, "era", t.era, "ranges", len(next.Ranges), "before", restored.Fence, "fence", next.Fence)
+	t.startMoves(service)
+	return nil
+}
+
 // recordRead records the version of a map that was read, unless this term wrote it.
 func (t *term) recordRead(service string, o owners) {
 	t.mu.Lock()
--- a/internal/entry/plan.go
+++ b/internal/entry/plan.go
@@ -5,6 +5,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/mangopost/mangopost/lease/era"
 	"github.com/mangopost/mangopost/ownership/keyrange"
 	"github.com/mangopost/mangopost/placement/hotrange"
 )
@@ -32,6 +33,8 @@
 	owned := t.mapOf(service)
 	targets := t.targets(service)
 	switch {
+	case owned.restored != nil:
+		return t.refence(service, owned.restored)
 	case len(targets) == 0:
 		return nil
 	case owned.keys == nil:
@@ -55,7 +58,7 @@
 	if !t.isTargetCountStable(service, len(targets)) {
 		return nil
 	}
-	first := firstMap(service, targets)
+	first := t.firstMap(service, targets)
 	t.recordNewFences(0, first)
 	return t.saveMap(service, first)
 }
@@ -73,7 +76,7 @@
 	for _, m := range moves {
 		t.node.counters.countMove(string(m.Reason))
 		t.node.log.Emit(evMove, "service", service, "from", m.From, "to", m.To, "target", m.Owner.Target,
-			"reason", string(m.Reason), "load", int64(m.Load), "version", t.mapOf(service).version)
+			"reason", string(m.Reason), "load", int64(m.Load), "version", era.Revision(t.mapOf(service).version))
 	}
 	t.startMoves(service)
 	return nil
@@ -160,13 +163,19 @@
 	return now >= g.since+targetCountStableTime
 }
 
-func firstMap(service string, targets []hotrange.Target) *keyrange.Map {
+// firstMap returns the first map of a service. Where the store may have lost one, all
+// grants made under it have to end first.
+func (t *term) firstMap(service string, targets []hotrange.Target) *keyrange.Map {
 	list := make([]keyrange.Owner, len(targets))
 	weights := make([]float64, len(targets))
 	for i, target := range targets {
 		list[i], weights[i] = target.Owner, target.Capacity
 	}
-	return keyrange.New(service, list, weights)
+	m := keyrange.NewAbove(era.FenceFloor(t.era), service, list, weights)
+	if t.restored {
+		m.Refence(m.Fence)
+	}
+	return m
 }
 
 // targets returns the targets of a service that may own keys.
--- a/internal/entry/reportframe.go
+++ b/internal/entry/reportframe.go
@@ -14,6 +14,7 @@
 
 	objectstore "github.com/mangopost/mangopost/internal/platform"
 	"github.com/mangopost/mangopost/internal/wire/pb"
+	"github.com/mangopost/mangopost/lease/era"
 	"github.com/mangopost/mangopost/membership/directory"
 	"github.com/mangopost/mangopost/membership/mirror"
 	"github.com/mangopost/mangopost/ownership/keyrange"
@@ -340,6 +341,7 @@
 }
 
 func (f *feed) applyRelay(r *pb.Relay) error {
+	f.node.store.ObserveEra(era.Of(r.Revision))
 	batch := objectstore.Batch{Revision: r.Revision}
 	for _, o := range r.Objects {
 		value, err := decompress(o.Value)
--- a/internal/entry/requestlog.go
+++ b/internal/entry/requestlog.go
@@ -6,6 +6,7 @@
 
 	"github.com/mangopost/mangopost/admission/pool"
 	"github.com/mangopost/mangopost/kernel"
+	"github.com/mangopost/mangopost/lease/era"
 	"github.com/mangopost/mangopost/platform"
 	"github.com/mangopost/mangopost/routing"
 )
@@ -56,7 +57,7 @@
 	if c.service != nil {
 		fields = append(fields, kernel.String("service", c.service.name))
 		if c.service.keyed {
-			fields = append(fields, kernel.Int("key", int64(c.Key)), kernel.Uint("owners", c.node.ownersVersion(c.service.name)))
+			fields = append(fields, kernel.Int("key", int64(c.Key)), kernel.Uint("owners", era.Revision(c.node.ownersVersion(c.service.name))))
 		}
 	}
 	return fields
--- a/internal/entry/resign.go
+++ b/internal/entry/resign.go
@@ -39,6 +39,7 @@
 func (c *candidate) resignationWrite(ctx context.Context, floor grants.Floor) (w coordinator.Write, ok bool) {
 	for {
 		c.mu.Lock()
+		c.observeEra()
 		now := leaseClock()
 		w, ok = c.election.Resign(now, floor.End-now, floor.UnansweredEnd-now)
 		held := c.election.Holds(now)
--- a/internal/entry/term.go
+++ b/internal/entry/term.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/mangopost/mangopost/lease/coordinator"
+	"github.com/mangopost/mangopost/lease/era"
 	"github.com/mangopost/mangopost/ownership/grants"
 	"github.com/mangopost/mangopost/ownership/keyrange"
 	"github.com/mangopost/mangopost/platform"
@@ -57,6 +58,8 @@
 	candidate *candidate
 	node      *Node
 	orders    orders
+	era       uint64          // of the store: the term ends with it
+	restored  bool            // the store may have come back from an older copy before the term
 	ctx       context.Context // ends with the term, and with it all work of the term
 	cancel    context.CancelFunc
 
@@ -114,11 +117,13 @@
 	ctx, cancel := context.WithCancel(ctx)
 	return &term{
 		candidate: c, node: c.node, ctx: ctx, cancel: cancel,
-		orders:      platform.NewOrders(grantTimeout),
-		ledger:      newLedger(c.election.Predecessor()),
-		maps:        make(map[string]*ownedMap),
-		refusals:    make(map[keyrange.Owner]refusal),
-		rangeStates: make(map[rangeKey]*rangeState),
+		era: c.election.Era(), restored: c.election.WasRestored(),
+		aggregatorsVersion: era.Version(c.election.Era(), 0),
+		orders:             platform.NewOrders(grantTimeout),
+		ledger:             newLedger(c.election.Predecessor()),
+		maps:               make(map[string]*ownedMap),
+		refusals:           make(map[keyrange.Owner]refusal),
+		rangeStates:        make(map[rangeKey]*rangeState),
 
 		sentMaps:      make(map[string]*keyrange.Map),
 		listingFloors: make(map[string]uint64),
@@ -131,6 +136,8 @@
 // lease record, first observed at seenAt.
 func newLedger(before coordinator.Record, seenAt time.Duration) *grants.Ledger {
 	if !before.Resigned {
+		// It is also assumed of a predecessor of an earlier era of the store: this host
+		// has seen the era for the lease's term and margin.
 		return grants.NewLedger(leaseClock(), grantTimeout-coordinator.DefaultTiming.Margin, longGrantHold)
 	}
 	recordedEnd := func(ms int64) time.Duration {
--- a/lease/coordinator/coordinator.go
+++ b/lease/coordinator/coordinator.go
@@ -79,21 +79,28 @@
 func New(self Record, timing Timing) *Election { return &Election{self: self, timing: timing} }
 
 // ObserveEra records that the store is in an era. If it is a later one than was known,
-// the role ends, and the record must be read again.
-func (e *Election) ObserveEra(named uint64) {
+// the role ends, and the record must be read again. It reports whether the record had
+// been read in an earlier one.
+func (e *Election) ObserveEra(named uint64) (changed bool) {
 	if named <= e.era {
-		return
+		return false
 	}
+	changed = e.hasRead
 	// A process that has read nothing before cannot tell whether the store was restored
 	// just now. The first era that a store names is taken for one without a restore.
 	e.wasRestored = e.wasRestored || e.hasRead || named > firstEra
 	e.era, e.version = named, era.Version(named, 0)
 	e.holds, e.hasRead = false, false
+	return changed
 }
 
 // firstEra is the era of a store that was never restored, if it names one.
 const firstEra = 1
 
+// WasRestored reports whether the store may have come back from an older copy: a later
+// era was seen, or the first one that this process saw is above firstEra.
+func (e *Election) WasRestored() bool { return e.wasRestored }
+
 // Era returns the latest known era of the store.
 func (e *Election) Era() uint64 { return e.era }
 
--- a/lease/era/era.go
+++ b/lease/era/era.go
@@ -8,6 +8,9 @@
 package era
 
 const (
+	// namedBit marks the versions of named eras, so that revisions of a store that names
+	// none may be as high as they like.
+	namedBit = 1 << 63
 	// revisionBits leaves room for 2.8e14 revisions in an era, 10,000 years at a
 	// thousand writes a second.
 	revisionBits = 48
@@ -27,14 +30,24 @@
 	if era == 0 {
 		return revision
 	}
-	return era<<revisionBits | min(revision, MaxRevision)
+	return namedBit | era<<revisionBits | min(revision, MaxRevision)
 }
 
 // Of returns the era of a version.
-func Of(version uint64) uint64 { return version >> revisionBits }
+func Of(version uint64) uint64 {
+	if version&namedBit == 0 {
+		return 0
+	}
+	return version &^ namedBit >> revisionBits
+}
 
 // Revision returns the store's own revision of a version.
-func Revision(version uint64) uint64 { return version & MaxRevision }
+func Revision(version uint64) uint64 {
+	if version&namedBit == 0 {
+		return version
+	}
+	return version & MaxRevision
+}
 
 // FenceFloor returns the fence above which all fences of an era are. It is not below any
 // fence of an earlier era.
--- a/lease/era/era_test.go
+++ b/lease/era/era_test.go
@@ -25,6 +25,12 @@
 		highest := era.FenceFloor(e) + fences
 		assert.Assert(t, highest < 1<<53)
 	})
-	assert.Equal(t, era.Version(0, 7), uint64(7))
+	const highest = 1<<63 - 1 // a store without eras may count nanoseconds
+	for _, revision := range []uint64{0, 7, era.MaxRevision + 1, highest} {
+		assert.Equal(t, era.Version(0, revision), revision)
+		assert.Equal(t, era.Revision(revision), revision)
+		assert.Equal(t, era.Of(revision), uint64(0))
+		assert.Assert(t, revision < era.Version(1, 0))
+	}
 	assert.Equal(t, era.FenceFloor(0), uint64(0))
 }
--- a/membership/directory/directory.go
+++ b/membership/directory/directory.go
@@ -45,6 +45,7 @@
 	leaving    map[string]leavingMark // targets that said in answers that they are leaving
 	answeredAt time.Duration          // time of the last answer from the store
 	returnedAt time.Duration          // time at which the store last returned, 0 if never
+	restoredAt time.Duration          // time at which it last came back from an older copy, 0 if never
 	hasAnswer  bool                   // whether the store has answered
 }
 
@@ -65,6 +66,18 @@
 	d.answeredAt, d.hasAnswer = now, true
 }
 
+// RecordRestore records that the store came back from an older copy. The targets write
+// their entries again; until then, those that are missing or older are kept as they are.
+func (d *Directory) RecordRestore(now time.Duration) { d.returnedAt, d.restoredAt = now, now }
+
+// isOlder reports whether the listed entry of a target was written before the known one,
+// because it is that of an older copy.
+func (d *Directory) isOlder(now time.Duration, listed Entry) bool {
+	known, ok := d.entries[listed.Name]
+	isRecent := d.restoredAt > 0 && now < d.restoredAt+d.timing.ReturnPeriod
+	return ok && isRecent && (listed.Run < known.Run || listed.Run == known.Run && listed.Heartbeat < known.Heartbeat)
+}
+
 // HasAnswer reports whether the store has ever answered.
 func (d *Directory) HasAnswer() bool { return d.hasAnswer }
 
@@ -72,6 +85,9 @@
 func (d *Directory) Replace(now time.Duration, entries []Entry) {
 	seen := make(map[string]bool, len(entries))
 	for _, e := range entries {
+		if d.isOlder(now, e) {
+			continue
+		}
 		seen[e.Name] = true
 		d.Put(e)
 	}
