--- a/internal/entry/fleet_test.go
+++ b/internal/entry/fleet_test.go
@@ -49,7 +49,7 @@
 	awaitLimit = 30 * time.Second
 )
 
-func newTestFleet(t *testing.T, hosts int) *testFleet {
+func newTestFleet(t *testing.T, hosts int, setup ...func(*standin.Store)) *testFleet {
 	t.Helper()
 	f := &testFleet{t: t, store: standin.NewStore(), byKind: make(map[string]int)}
 	f.store.Fault = func(r *http.Request) standin.Fault {
@@ -73,6 +73,9 @@
 	for i := range fleetTargets {
 		f.store.Set(fmt.Sprintf("servers/t%02d", i), standin.TargetEntry(fleetService, fmt.Sprintf("127.0.0.1:%d", 1+i), "dc0", 4, "ready", 1, 1))
 	}
+	for _, prepare := range setup {
+		prepare(f.store)
+	}
 	for i := range hosts {
 		f.addHost(i)
 	}
