The coordinator whose role ends with the era goes on from what it knows

It was the last holder, all others wait longer than its lease would have run, and so its maps and grants are all that there is to know: it takes the role again at once and writes its own maps under new fences, whatever the copy shows. Owners keep their keys. Any other coordinator waits for the longest grant.

--- a/internal/entry/candidate.go
+++ b/internal/entry/candidate.go
@@ -35,6 +35,7 @@
 	mu            sync.Mutex
 	election      *coordinator.Election
 	term          *term              // nil while this host is not the coordinator
+	kept          *keptTerm          // the last term, if the store's era ended it
 	hosts         demand.HostSummary // as last reported by the coordinator
 	termStart     time.Duration      // on leaseClock
 	keepRoleUntil time.Duration      // on leaseClock; until then the role is not given to a faster host
@@ -153,7 +154,7 @@
 		return
 	}
 	held := c.election.Holds(leaseClock())
-	if c.election.ObserveEra(named) {
+	if c.election.ObserveEra(leaseClock(), named) {
 		c.node.log.Emit(evEra, "era", named, "before", before, "coordinator", held)
 	}
 }
@@ -209,6 +210,9 @@
 			// Cancelling a renewal would leave the record's version unknown.
 			go c.node.guard("lease", func() { c.writeRecord(context.WithoutCancel(ctx), write) })
 		}
+		if !held {
+			c.keepTerm()
+		}
 		c.updateTerm(ctx, held)
 		if c.shouldYield() {
 			c.resign(ctx, "faster host")
@@ -242,6 +246,9 @@
 	c.mu.Lock()
 	c.observeEra()
 	c.election.Acknowledged(leaseClock(), sentAt, version, w)
+	if !c.election.KeepsRole() && !c.election.FollowsItself() {
+		c.kept = nil // somebody else had the role since
+	}
 	c.mu.Unlock()
 	if value, err := json.Marshal(w.Record); err == nil { // the same bytes as were written
 		c.node.applyOwnWrite(coordinatorObject, version, value)
--- a/internal/entry/ownedmap.go
+++ b/internal/entry/ownedmap.go
@@ -97,11 +97,37 @@
 		return err
 	}
 	t.recordNewFences(restored.Fence, next)
-	t.node.log.Emit(evRefenced, "service", service, "era", t.era, "ranges", len(next.Ranges), "before", restored.Fence, "fence", next.Fence)
+	t.logRefenced(service, restored, next, false)
 	t.startMoves(service)
 	return nil
 }
 
+// renumber writes the last map of the era before under fences of this one, if this term
+// goes on from the one that wrote it. Owners keep their keys. The store's older copy, or
+// its absence, does not matter. done is false if there is no such map.
+func (t *term) renumber(service string) (done bool, err error) {
+	t.mu.Lock()
+	last := t.keptMaps[service]
+	delete(t.keptMaps, service)
+	t.mu.Unlock()
+	owned := t.mapOf(service)
+	if last == nil || owned.keys != nil {
+		return false, nil
+	}
+	next := last.Clone()
+	next.Renumber(era.FenceFloor(t.era))
+	if err := t.saveMap(service, next); err != nil {
+		return true, err
+	}
+	t.logRefenced(service, last, next, true)
+	t.startMoves(service)
+	return true, nil
+}
+
+func (t *term) logRefenced(service string, before, after *keyrange.Map, isLast bool) {
+	t.node.log.Emit(evRefenced, "service", service, "era", t.era, "ranges", len(after.Ranges), "before", before.Fence, "fence", after.Fence, "is_last", isLast)
+}
+
 // recordRead records the version of a map that was read, unless this term wrote it.
 func (t *term) recordRead(service string, o owners) {
 	t.mu.Lock()
--- a/internal/entry/plan.go
+++ b/internal/entry/plan.go
@@ -27,6 +27,9 @@
 			return err
 		}
 	}
+	if done, err := t.renumber(service); done {
+		return err
+	}
 	if err := t.refreshListing(service); err != nil {
 		return errors.Wrap(err, "list targets for the map")
 	}
--- a/internal/entry/term.go
+++ b/internal/entry/term.go
@@ -72,6 +72,10 @@
 	rangeStates map[rangeKey]*rangeState
 	closed      bool // no further order is sent
 
+	// keptMaps holds the maps of the term before by service until they are written in this
+	// era, if this host goes on from it.
+	keptMaps map[string]*keyrange.Map
+
 	sentMaps map[string]*keyrange.Map // last map of each service that this term tried to write
 	// listingFloors holds for each service the version of the map that another
 	// coordinator wrote: an older listing of targets does not go with it.
@@ -115,7 +119,8 @@
 // newTerm returns a term that starts now. c.mu is held.
 func newTerm(ctx context.Context, c *candidate) *term {
 	ctx, cancel := context.WithCancel(ctx)
-	return &term{
+	kept := c.takeKept()
+	t := &term{
 		candidate: c, node: c.node, ctx: ctx, cancel: cancel,
 		era: c.election.Era(), restored: c.election.WasRestored(),
 		aggregatorsVersion: era.Version(c.election.Era(), 0),
@@ -130,6 +135,10 @@
 
 		targetCounts: make(map[string]targetCount),
 	}
+	if kept != nil {
+		t.keptMaps = kept.maps
+	}
+	return t
 }
 
 // newLedger returns the ledger of a coordinator whose predecessor left the given
--- a/lease/coordinator/coordinator.go
+++ b/lease/coordinator/coordinator.go
@@ -70,6 +70,8 @@
 	stagger         time.Duration
 	era             uint64 // latest known era of the store
 	wasRestored     bool   // the store has come back from an older copy before
+	keeps           bool   // the role ended with the last era, and nobody has taken it since
+	followsItself   bool   // it was taken again after that, with nobody in between
 
 	predecessor       Record // record that this host took over from
 	predecessorSeenAt time.Duration
@@ -81,10 +83,11 @@
 // ObserveEra records that the store is in an era. If it is a later one than was known,
 // the role ends, and the record must be read again. It reports whether the record had
 // been read in an earlier one.
-func (e *Election) ObserveEra(named uint64) (changed bool) {
+func (e *Election) ObserveEra(now time.Duration, named uint64) (changed bool) {
 	if named <= e.era {
 		return false
 	}
+	e.keeps = e.Holds(now)
 	changed = e.hasRead
 	// A process that has read nothing before cannot tell whether the store was restored
 	// just now. The first era that a store names is taken for one without a restore.
@@ -97,6 +100,14 @@
 // firstEra is the era of a store that was never restored, if it names one.
 const firstEra = 1
 
+// KeepsRole reports whether this host's role ended with the era before and nobody is known
+// to have taken it since. Then it may be taken again at once.
+func (e *Election) KeepsRole() bool { return e.keeps }
+
+// FollowsItself reports whether this host took the role again that had ended with the era
+// before, with nobody in between: all grants since are its own.
+func (e *Election) FollowsItself() bool { return e.followsItself }
+
 // WasRestored reports whether the store may have come back from an older copy: a later
 // era was seen, or the first one that this process saw is above firstEra.
 func (e *Election) WasRestored() bool { return e.wasRestored }
@@ -108,7 +119,7 @@
 // means that it does not exist.
 func (e *Election) Observe(now time.Duration, version uint64, r Record) {
 	e.StoreAnswered(now)
-	e.ObserveEra(era.Of(version))
+	e.ObserveEra(now, era.Of(version))
 	if era.Of(version) < e.era || e.hasRead && version <= e.version {
 		return
 	}
@@ -117,6 +128,7 @@
 	if !e.isOwnRecord() {
 		e.holds = false
 	}
+	e.keeps = e.keeps && (e.isMissing() || !e.isOfEra(r))
 }
 
 // Holds reports whether this host holds the role now. Call it directly before each
@@ -168,7 +180,7 @@
 // takeoverDelay returns how long after the record was first seen this host may take it.
 func (e *Election) takeoverDelay() time.Duration {
 	switch {
-	case e.isMissing() && !e.wasRestored:
+	case e.keeps, e.isMissing() && !e.wasRestored:
 		return 0
 	case e.isMissing() || !e.isOfEra(e.seen):
 		return e.timing.Term + e.timing.Margin + e.stagger
@@ -193,13 +205,14 @@
 // version.
 func (e *Election) Acknowledged(now, sentAt time.Duration, version uint64, w Write) {
 	e.pending = false
-	e.ObserveEra(era.Of(version))
+	e.ObserveEra(now, era.Of(version))
 	if version <= e.version || w.Record.Era != e.era {
 		return
 	}
 	// A role that has lapsed meanwhile is taken anew, also from this host itself.
 	if !e.Holds(now) {
 		e.predecessor, e.predecessorSeenAt = e.seen, e.seenAt
+		e.followsItself, e.keeps = e.keeps, false
 		if !e.isOfEra(e.seen) {
 			e.predecessor = Record{} // unknown: it may not be that of the record
 		}
--- a/ownership/keyrange/map.go
+++ b/ownership/keyrange/map.go
@@ -116,6 +116,22 @@
 	}
 }
 
+// Renumber gives every range a new fence above floor, for a map that is known to be the
+// last one. No key changes its owner, whose grants under the earlier fence go on. The
+// owner of a moving range may just have been granted the keys and is one of the earlier
+// owners then.
+func (m *Map) Renumber(floor uint64) {
+	m.Fence = max(m.Fence, floor)
+	for i := range m.Ranges {
+		r := &m.Ranges[i]
+		if len(r.Prev) > 0 {
+			r.Prev = append(slices.Clip(r.Prev), Previous{Owner: r.Owner, Fence: r.Fence})
+		}
+		m.Fence++
+		r.Fence = m.Fence
+	}
+}
+
 // splitAt splits the range that contains key so that a range begins at key.
 func (m *Map) splitAt(key int) {
 	i := m.IndexOf(key)
--- a/ownership/keyrange/map_test.go
+++ b/ownership/keyrange/map_test.go
@@ -152,3 +152,21 @@
 	assert.DeepEqual(t, decoded, *m)
 	assert.Assert(t, keyrange.NewAbove(floor, "s", []keyrange.Owner{owner(0)}, []float64{1}).Ranges[0].Fence == floor+1)
 }
+
+// A coordinator that goes on in a new era must lose no earlier owner of a moving range.
+func TestRenumber(t *testing.T) {
+	m := newFourOwnerMap()
+	m.Assign(0, 100, owner(3))
+	before := m.Clone()
+	const floor = 1 << 41
+	m.Renumber(floor)
+	assert.Equal(t, len(keyrange.Check(m)), 0)
+	for i, r := range m.Ranges {
+		assert.Assert(t, r.Fence > floor)
+		assert.Equal(t, r.Owner, before.Ranges[i].Owner)
+	}
+	assert.DeepEqual(t, m.Ranges[0].Prev, []keyrange.Previous{
+		{Owner: owner(0), Fence: before.Ranges[1].Fence}, {Owner: owner(3), Fence: before.Ranges[0].Fence},
+	})
+	assert.Equal(t, len(m.Ranges[1].Prev), 0)
+}
