--- a/internal/entry/era_test.go
+++ b/internal/entry/era_test.go
@@ -3,14 +3,20 @@
 import (
 	"fmt"
 	"net/http"
+	"net/http/httptest"
 	"slices"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
 
+	objectstore "github.com/mangopost/mangopost/internal/platform"
 	"github.com/mangopost/mangopost/lease/era"
+	"github.com/mangopost/mangopost/ownership/grants"
+	"github.com/mangopost/mangopost/ownership/keyrange"
+	"github.com/mangopost/mangopost/platform"
 	"github.com/mangopost/mangopost/platform/standin"
 )
 
@@ -219,3 +225,99 @@
 	old.node.store.SetAddr(f.addr.String())
 	f.awaitEra(2, before)
 }
+
+// newTermInEra returns a term in the second era of a store.
+func newTermInEra(t *testing.T) (*term, *fakeOrders, *standin.Store) {
+	t.Helper()
+	tm, fake := newTestTerm(t)
+	store := standin.NewStore()
+	store.SetEra(2)
+	server := httptest.NewServer(store)
+	t.Cleanup(server.Close)
+	n := tm.node
+	n.store.SetAddr(server.Listener.Addr().String())
+	n.store.ObserveEra(2)
+	n.candidate.observeListing()
+	w, due := n.candidate.election.Next(leaseClock() + 2*time.Hour)
+	assert.Assert(t, due)
+	n.candidate.election.Acknowledged(leaseClock(), leaseClock()+time.Hour, era.Version(2, 1), w)
+	assert.Assert(t, n.candidate.holdsLease())
+	tm = newTerm(t.Context(), n.candidate)
+	tm.orders = fake
+	return tm, fake, store
+}
+
+// planMap plans with a map that the store holds, and returns the next step for its keys.
+func planMap(t *testing.T, tm *term, store *standin.Store, m *keyrange.Map) grants.Decision {
+	t.Helper()
+	store.Set(ownersPrefix+"s", m)
+	tm.setMap("s", nil)
+	assert.NilError(t, tm.planService("s"))
+	r := tm.mapOf("s").keys.Ranges[0]
+	assert.Assert(t, r.Fence > era.FenceFloor(2))
+	assert.Assert(t, len(r.Prev) == 1 && r.Prev[0].IsUnknown())
+	return tm.nextStep(grants.NewTransfer(r.Prev[0]))
+}
+
+// Guards against two owners: the owner that a restored map names need not be the last.
+func TestRestoredMapIsNotGranted(t *testing.T) {
+	tm, fake, store := newTermInEra(t)
+	restored := keyrange.New("s", []keyrange.Owner{ownerA}, []float64{1})
+	d := planMap(t, tm, store, restored)
+	assert.Equal(t, d.Step, grants.StepWait)
+	assert.Assert(t, d.Until > leaseClock()+longGrantHold-time.Second)
+
+	// A write of before the restore may replace the map of this term, whose grants are
+	// then not those of the map, and which are later than the term's start.
+	tm.ledger = grants.NewLedger(-time.Hour, 0, 0)
+	d = planMap(t, tm, store, restored)
+	assert.Equal(t, d.Step, grants.StepWait)
+	assert.Assert(t, d.Until > leaseClock()+longGrantHold)
+	select {
+	case o := <-fake.sent:
+		t.Fatalf("order sent: %+v", o)
+	default:
+	}
+}
+
+// A coordinator sends nothing more once any answer has named a later era, and writes
+// nothing that is conditional on the era before.
+func TestTermEndsWithEra(t *testing.T) {
+	tm, fake, store := newTermInEra(t)
+	owned := &ownedMap{keys: keyrange.NewAbove(era.FenceFloor(2), "s", []keyrange.Owner{ownerA}, []float64{1}), version: era.Version(2, 1)}
+	tm.setMap("s", owned)
+	store.Restore(store.Copy())
+	assert.NilError(t, tm.node.store.Probe(t.Context(), coordinatorObject))
+	whole := owned.keys.Ranges[0]
+	state, _ := tm.claimRange("s", whole)
+	assert.Assert(t, !tm.grant("s", whole, state))
+	_, err := tm.release(whole, keyrange.Previous{Owner: ownerB, Fence: 1})
+	assert.Assert(t, err != nil)
+	assert.Assert(t, tm.saveMap("s", owned.keys) != nil)
+	assert.Equal(t, len(fake.sent), 0)
+	assert.Assert(t, !tm.node.candidate.holdsLease())
+}
+
+// A feed takes older revisions in a new era, and no answer of an earlier era afterwards.
+func TestFeedFollowsEra(t *testing.T) {
+	tm, _, store := newTermInEra(t)
+	f := tm.node.feedOf(platform.TargetPrefix)
+	for i := range 3 {
+		store.Set(fmt.Sprintf("servers/t%d", i), standin.TargetEntry("s", ownerA.Addr, "here", 4, "ready", 2, 2))
+	}
+	assert.NilError(t, f.listFresh(t.Context()))
+	late, err := tm.node.store.List(t.Context(), platform.TargetPrefix)
+	assert.NilError(t, err)
+	copied := standin.NewStore()
+	copied.Set("servers/t0", standin.TargetEntry("s", ownerA.Addr, "here", 4, "ready", 9, 1))
+	store.Restore(copied.Copy())
+	assert.Assert(t, errors.Is(f.listOrWatch(t.Context()), objectstore.ErrCompacted))
+	assert.NilError(t, f.listFresh(t.Context()))
+	assert.Equal(t, f.revision(), era.Version(3, 1))
+	f.applyBatch(late, true, 0)
+	assert.Equal(t, f.revision(), era.Version(3, 1))
+	assert.Assert(t, f.checkEra(late) != nil)
+	e, _ := tm.node.directory.Get("t0")
+	assert.Equal(t, e.Run, int64(2), "the entry of an earlier run does not count while targets write theirs again")
+	assert.Equal(t, tm.node.directory.Len(), 3)
+}
--- a/membership/directory/directory_test.go
+++ b/membership/directory/directory_test.go
@@ -85,3 +85,24 @@
 	d.Tick(11 * 60 * second)
 	assert.Assert(t, d.MarkLeaving(11*60*second, run), "a target without an entry is forgotten")
 }
+
+// Guards against work for a run that has ended, and for a target that is leaving: an older
+// copy of the store shows states of before.
+func TestOlderEntriesAfterRestore(t *testing.T) {
+	d := newDirectory()
+	d.Put(directory.Entry{Name: "a", Service: "s", Run: 2, Heartbeat: 3, Leaving: true})
+	restored := []directory.Entry{{Name: "a", Service: "s", Run: 2, Heartbeat: 2}}
+	d.RecordRestore(second)
+	d.Replace(second, restored)
+	e, _ := d.Get("a")
+	assert.Assert(t, e.Leaving)
+	assert.Equal(t, len(d.TargetsOf("s")), 2, "a missing entry is kept")
+	d.Replace(2*second, []directory.Entry{{Name: "a", Service: "s", Run: 2, Heartbeat: 4}})
+	e, _ = d.Get("a")
+	assert.Assert(t, !e.Leaving, "the target wrote it again")
+	assert.Assert(t, d.Tick(3*second))
+	assert.Equal(t, len(d.TargetsOf("s")), 1)
+	d.Replace(4*second, restored) // a stale listing, as before
+	e, _ = d.Get("a")
+	assert.Equal(t, e.Heartbeat, uint64(2))
+}
