--- a/internal/entry/era_test.go
+++ b/internal/entry/era_test.go
@@ -13,6 +13,7 @@
 	"gotest.tools/v3/assert"
 
 	objectstore "github.com/mangopost/mangopost/internal/platform"
+	"github.com/mangopost/mangopost/lease/coordinator"
 	"github.com/mangopost/mangopost/lease/era"
 	"github.com/mangopost/mangopost/ownership/grants"
 	"github.com/mangopost/mangopost/ownership/keyrange"
@@ -308,6 +309,52 @@
 	assert.Assert(t, !tm.node.candidate.holdsLease())
 }
 
+// Guards against seconds without owners after each restore: the last holder of the role
+// goes on from its own maps and grants, of which the store shows an older state or none.
+// Once another host had the role, what was kept counts no more.
+func TestLastHolderGoesOn(t *testing.T) {
+	for name, isFollowed := range map[string]bool{"at once": false, "after another host": true} {
+		t.Run(name, func(t *testing.T) {
+			tm, _, store := newTermInEra(t)
+			c, n := tm.node.candidate, tm.node
+			tm.ledger = grants.NewLedger(-time.Hour, 0, 0)
+			keys := keyrange.NewAbove(era.FenceFloor(2), "s", []keyrange.Owner{ownerA, ownerB}, []float64{1, 1})
+			store.Set(ownersPrefix+"s", keys)
+			assert.NilError(t, tm.loadMap("s"))
+			c.term = tm
+			store.Restore(standin.NewStore().Copy())
+			assert.NilError(t, n.store.Probe(t.Context(), coordinatorObject))
+			assert.Assert(t, !c.holdsLease())
+			c.keepTerm()
+			c.updateTerm(t.Context(), false)
+
+			n.candidate.observeListing()
+			if isFollowed {
+				c.observeRecord(era.Version(3, 1), coordinator.Record{Holder: "other", Era: 3})
+			}
+			w, due := c.election.Next(leaseClock() + 2*time.Hour)
+			assert.Assert(t, due)
+			c.applyAcknowledgement(leaseClock()+time.Hour, era.Version(3, 2), w)
+			next := newTerm(t.Context(), c)
+			if isFollowed {
+				assert.Equal(t, len(next.keptMaps), 0)
+				floor, _ := next.ledger.Floor()
+				assert.Assert(t, floor.End > leaseClock()+grantHold, "grants of the other host are not known")
+				return
+			}
+			assert.NilError(t, next.planService("s"))
+			for i, r := range next.mapOf("s").keys.Ranges {
+				assert.Equal(t, r.Owner, keys.Ranges[i].Owner)
+				assert.Equal(t, len(r.Prev), 0)
+				assert.Assert(t, r.Fence > era.FenceFloor(3))
+				_, ok := next.ledger.EndOf(r.Owner, r.Fence)
+				end, _ := next.ledger.EndOfUnanswered(r.Owner, r.Fence)
+				assert.Assert(t, ok && end < leaseClock(), "a release counts at once")
+			}
+		})
+	}
+}
+
 // A feed takes older revisions in a new era, and no answer of an earlier era afterwards.
 func TestFeedFollowsEra(t *testing.T) {
 	tm, _, store := newTermInEra(t)
