--- a/docs/layers_test.go
+++ b/docs/layers_test.go
@@ -20,7 +20,7 @@
 	"routing", "template", "maintenance", "finding", "finding/tomldoc",
 	"lease/coordinator", "ownership/keyrange", "ownership/grants", "placement/hotrange", "placement/demand",
 	"admission/pool", "admission/coldstart", "admission/loadreport",
-	"membership/directory", "membership/mirror", "membership/aggregators", "membership/evacuation",
+	"membership/directory", "membership/mirror", "membership/aggregators", "membership/evacuation", "lease/era",
 }
 
 // forbiddenImports are the import paths that a decision package must not use,
--- a/internal/entry/cold_test.go
+++ b/internal/entry/cold_test.go
@@ -69,12 +69,13 @@
 // owners.
 func TestFirstMapLeavesOutColdTargets(t *testing.T) {
 	owner := func(name string) keyrange.Owner { return keyrange.Owner{Target: name, Run: 1} }
+	tm, _ := newTestTerm(t)
 	targets := []hotrange.Target{{Owner: owner("a"), Capacity: 1}, {Owner: owner("b"), Capacity: 1, Cold: true}}
-	for _, r := range firstMap("s", targets).Ranges {
+	for _, r := range tm.firstMap("s", targets).Ranges {
 		assert.Equal(t, r.Owner.Target, "a")
 	}
 	targets[0].Cold = true
-	assert.Equal(t, len(firstMap("s", targets).Ranges), 2)
+	assert.Equal(t, len(tm.firstMap("s", targets).Ranges), 2)
 }
 
 // TestNoLateConnectionToColdTarget: requests to a cold target that wait for a connection
--- a/internal/entry/feeds.go
+++ b/internal/entry/feeds.go
@@ -10,6 +10,7 @@
 
 	objectstore "github.com/mangopost/mangopost/internal/platform"
 	"github.com/mangopost/mangopost/lease/coordinator"
+	"github.com/mangopost/mangopost/lease/era"
 	"github.com/mangopost/mangopost/membership/directory"
 	"github.com/mangopost/mangopost/membership/mirror"
 	"github.com/mangopost/mangopost/ownership/keyrange"
@@ -77,6 +78,11 @@
 			defer n.mu.Unlock()
 			n.directory.RecordAnswer(steadyClock())
 		},
+		onRestore: func() {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			n.directory.RecordRestore(steadyClock())
+		},
 	}
 	f.replace = func(objects []objectstore.Object) { n.replaceTargets(objects, f.objectsAge) }
 	f.apply = func(objects []objectstore.Object) []objectstore.Object { return n.applyTargets(objects, f.objectsAge) }
@@ -137,7 +143,7 @@
 	if obj.Deleted {
 		n.directory.Remove(steadyClock(), name)
 		_, isKept := n.directory.Get(name)
-		n.log.Emit(evTargets, "target", name, "service", before.Service, "gone", true, "kept", isKept, "version", obj.Version)
+		n.log.Emit(evTargets, "target", name, "service", before.Service, "gone", true, "kept", isKept, "version", era.Revision(obj.Version))
 		return wasKnown
 	}
 	e, ok := n.decodeTarget(obj)
@@ -151,7 +157,7 @@
 		return false
 	}
 	n.log.Emit(evTargets, "target", name, "service", e.Service, "addr", e.Addr, "data_centre", e.DataCentre,
-		"leaving", e.Leaving, "run", e.Run, "slots", e.Slots, "cold_ms", ms(e.ColdFor), "version", obj.Version)
+		"leaving", e.Leaving, "run", e.Run, "slots", e.Slots, "cold_ms", ms(e.ColdFor), "version", era.Revision(obj.Version))
 	return true
 }
 
--- a/membership/directory/directory.go
+++ b/membership/directory/directory.go
@@ -48,6 +48,7 @@
 	answeredAt time.Duration          // time of the last answer from the store
 	returnedAt time.Duration          // time at which the store last returned, 0 if never
 	failed     bool                   // the store was found unavailable since its last answer
+	restoredAt time.Duration          // time at which it last came back from an older copy, 0 if never
 	hasAnswer  bool                   // whether the store has answered
 }
 
@@ -74,6 +75,18 @@
 // relays to it.
 func (d *Directory) RecordFailure() { d.failed = true }
 
+// RecordRestore records that the store came back from an older copy. The targets write
+// their entries again; until then, those that are missing or older are kept as they are.
+func (d *Directory) RecordRestore(now time.Duration) { d.returnedAt, d.restoredAt = now, now }
+
+// isOlder reports whether the listed entry of a target was written before the known one,
+// because it is that of an older copy.
+func (d *Directory) isOlder(now time.Duration, listed Entry) bool {
+	known, ok := d.entries[listed.Name]
+	isRecent := d.restoredAt > 0 && now < d.restoredAt+d.timing.ReturnPeriod
+	return ok && isRecent && (listed.Run < known.Run || listed.Run == known.Run && listed.Heartbeat < known.Heartbeat)
+}
+
 // HasAnswer reports whether the store has ever answered.
 func (d *Directory) HasAnswer() bool { return d.hasAnswer }
 
@@ -81,6 +94,9 @@
 func (d *Directory) Replace(now time.Duration, entries []Entry) {
 	seen := make(map[string]bool, len(entries))
 	for _, e := range entries {
+		if d.isOlder(now, e) {
+			continue
+		}
 		seen[e.Name] = true
 		d.Put(e)
 	}
