--- a/admission/pool/crossing.go
+++ b/admission/pool/crossing.go
@@ -204,7 +204,7 @@
 			continue
 		}
 		own += float64(t.running)
-		others += t.othersRunning
+		others += t.estimate(p.now).Others
 		capacity += t.capacity(p.cfg.BacklogFraction)
 	}
 	c.part.Report(own, others, capacity, p.hostCount/max(1, c.dataCentres))
@@ -292,7 +292,7 @@
 		if !p.hasRoomAt(now, t) || !p.mayUse(now, t, r) {
 			continue
 		}
-		v.free += max(0, t.capacity(p.cfg.BacklogFraction)-float64(t.running)-t.othersRunning)
+		v.free += max(0, t.capacity(p.cfg.BacklogFraction)-float64(t.running)-t.estimate(now).Others)
 		cost := p.costAt(now, t, r)
 		if v.best == nil || cost < v.bestCost || cost == v.bestCost && t.Owner.Target < v.best.Owner.Target {
 			v.best, v.bestCost = t, cost
@@ -310,8 +310,15 @@
 	if t.isColdClosed(now) || now < t.coolUntil || now < t.pausedUntil || t.Limit > 0 && t.running >= t.Limit {
 		return false
 	}
-	running := float64(t.running + 1)
-	return t.running == 0 || running <= t.window && running+t.othersMean <= t.capacity(p.cfg.BacklogFraction)
+	capacity := t.capacity(p.cfg.BacklogFraction)
+	if t.running == 0 {
+		return !t.isReportedFull(now, capacity)
+	}
+	running, others := float64(t.running+1), t.othersMean
+	if e := t.estimate(now); e.Decides {
+		others = e.Others
+	}
+	return running <= t.window && running+others <= capacity
 }
 
 // pickElsewhere returns the target beyond the nearest place for which the comparison is
@@ -392,7 +399,7 @@
 	mean := p.crossings.places[place].times
 	switch {
 	case p.urgency.isActive():
-		return min(max(t.slownessAt(now), minSlownessFactor), maxSlownessFactor)
+		return min(max(t.slownessAt(now)*t.estimate(now).Pace, minSlownessFactor), maxSlownessFactor)
 	case mean.Samples() < minPlaceSamples || t.serviceTime.samples == 0:
 		return 1
 	}
--- a/admission/pool/types.go
+++ b/admission/pool/types.go
@@ -38,15 +38,15 @@
 // Request is a request that waits for a target.
 type Request struct {
 	ID           uint64
-	Key          int    // key of a request to a keyed service
-	Priority     int    // 0 is the most urgent
-	Route        string // name of the route, whose requests are alike
+	Key          int      // key of a request to a keyed service
+	Priority     int      // 0 is the most urgent
+	Route        string   // name of the route, whose requests are alike
+	Regions      []string // regions whose targets may run the request; empty: all
 	Arrived      time.Duration
 	Goal         time.Duration // time by which the answer has its full value
 	Deadline     time.Duration // time from which an answer is of no use
 	TriedTargets []string      // targets that the request was already sent to
 	NotBefore    time.Duration // earliest time at which the request may be sent
-	Regions      []string      // regions whose targets may run the request; empty: all targets may
 
 	wantsAway uint8 // places for which the request was counted as one that should leave, as bits
 }
--- a/admission/pool/urgent_test.go
+++ b/admission/pool/urgent_test.go
@@ -28,13 +28,17 @@
 
 // simulateRecords runs 59 hosts with short urgent and long less urgent requests.
 func simulateRecords(targets int, urgent, lessUrgent rate, reserve bool) (record, history *simResult) {
-	s := simulation{hosts: 59, targets: targets, slots: 6, slowPart: 0.2, duration: 16 * time.Second, routes: []simRoute{
+	results := recordsSimulation(targets, urgent, lessUrgent, reserve).run(1)
+	return results["patient-record"], results["history-pull"]
+}
+
+func recordsSimulation(targets int, urgent, lessUrgent rate, reserve bool) *simulation {
+	s := &simulation{hosts: 59, targets: targets, slots: 6, slowPart: 0.2, duration: 16 * time.Second, routes: []simRoute{
 		{name: "patient-record", priority: 0, rate: urgent, work: 68 * ms, goal: 250 * ms, deadline: 1500 * ms},
 		{name: "history-pull", priority: 2, rate: lessUrgent, work: 420 * ms, goal: 2500 * ms, deadline: 6 * time.Second},
 	}}
 	s.configure = func(c *pool.Config) { c.ReserveUrgent = reserve }
-	results := s.run(1)
-	return results["patient-record"], results["history-pull"]
+	return s
 }
 
 // Bursts of long, less urgent requests fill the queues of all targets, because each of
@@ -67,6 +71,17 @@
 	}
 }
 
+// Each host may use the part of the less urgent capacity that it uses of it, not an even
+// share: with an even share, 20 hosts left a third of their burst's capacity unused.
+func TestBurstAtFewHostsIsServed(t *testing.T) {
+	s := recordsSimulation(67, constant(280), burst(420, 2.4), true)
+	s.routes[1].everyNthHost = 3
+	results := s.run(1)
+	record, history := results["patient-record"], results["history-pull"]
+	t.Logf("urgent: %v; less urgent: %v", record, history)
+	assert.Assert(t, record.goodShare() > 0.8 && history.goodShare() > 0.65)
+}
+
 // A burst of urgent requests takes slots from the less urgent ones.
 func TestBurstOfUrgentRequestsIsServed(t *testing.T) {
 	before, _ := simulateRecords(20, burst(280, 1.9), constant(160), false)
@@ -179,6 +194,75 @@
 	}
 }
 
+// Where less urgent requests may run in one region only, targets of the other are
+// reserved: reserved ones at home would be lost to them. Where the urgent ones are bound
+// to a region, targets of the other would be of no use.
+func TestReserveIsWhereUrgentRequestsMayRun(t *testing.T) {
+	var targets []pool.Target
+	for i := range 24 {
+		added := target(fmt.Sprintf("t%02d", i), 6, pool.SameRegion)
+		added.DataCentre, added.Region = fmt.Sprint(i%4), []string{"west", "east"}[i%4/2]
+		targets = append(targets, added)
+	}
+	unused := func(urgent, lessUrgent []string) map[string]int {
+		cfg := pool.DefaultConfig
+		cfg.ReserveUrgent = true
+		p := pool.New(cfg)
+		p.SetTargets(0, targets)
+		p.SetHostCount(10)
+		out := make(map[string]int)
+		for id := range uint64(4000) {
+			now := time.Duration(id) * 20 * ms
+			r, took := urgentRequest(id, now), 60*ms
+			r.Regions = urgent
+			if id%2 == 1 {
+				r, took = lessUrgentRequest(id, now), 400*ms
+				r.Regions = lessUrgent
+			}
+			for _, a := range p.Arrive(now, r) {
+				if id > 1000 && id%2 == 1 {
+					out[a.Target.Target]++
+				}
+				p.RecordWork(a, took, pool.Answered)
+				p.Finish(now, a.Target, took, pool.Answered)
+			}
+		}
+		regions := make(map[string]int)
+		for _, t := range targets {
+			if out[t.Owner.Target] == 0 {
+				regions[t.Region]++
+			}
+		}
+		return regions
+	}
+	anywhere := unused(nil, nil)
+	assert.Assert(t, anywhere["west"] > 1 && anywhere["east"] > 1, "%v", anywhere)
+	home := unused(nil, []string{"west"})
+	assert.Assert(t, home["west"] == 0 && home["east"] > 1, "%v", home)
+	bound := unused([]string{"west"}, nil)
+	assert.Assert(t, bound["west"] > 1 && bound["east"] == 0, "%v", bound)
+}
+
+// Keys decide on the target, and what 59 hosts run at an owner is known late: a reserve
+// that follows the late figures leaves owners idle (in time 0.58 instead of 0.83).
+func TestReserveCostsKeyedServiceLittle(t *testing.T) {
+	inTime := func(reserve bool, says say) (share [2]float64) {
+		s := simulation{hosts: 59, targets: 67, slots: 6, slowPart: 0.2, duration: 12 * time.Second, keyed: true, say: says, routes: []simRoute{
+			{name: "patient-record", priority: 0, rate: constant(140), work: 68 * ms, goal: 250 * ms, deadline: 1500 * ms},
+			{name: "slot-lookup", priority: 1, rate: constant(1160), work: 170 * ms, goal: 600 * ms, deadline: 2 * time.Second},
+		}}
+		s.configure = func(c *pool.Config) { c.ReserveUrgent = reserve }
+		results := s.run(1)
+		return [2]float64{results["patient-record"].goodShare(), results["slot-lookup"].goodShare()}
+	}
+	without := inTime(false, nil)
+	for name, says := range map[string]say{"no reports": nil, "reports": truth} {
+		with := inTime(true, says)
+		t.Logf("%s: urgent %.3f, before %.3f; less urgent %.3f, before %.3f", name, with[0], without[0], with[1], without[1])
+		assert.Assert(t, with[0] > without[0]-0.02 && with[1] > without[1]-0.02)
+	}
+}
+
 // The owner of a key keeps slots free of less urgent requests of a host that has some.
 func TestOwnerKeepsSlotsForUrgentRequests(t *testing.T) {
 	count := func(reserve bool) (started int) {
--- a/internal/entry/events.go
+++ b/internal/entry/events.go
@@ -34,6 +34,11 @@
 	evWarm             = kernel.RegisterEvent(6021, hclog.Info, "target counts as warm again")
 	evReserve          = kernel.RegisterEvent(6023, hclog.Info, "capacity reserved for more urgent requests begins or ends")
 
+	evLoadReports = kernel.RegisterEvent(6024, hclog.Warn, "load reports of a target begin or cease to count")
+
+	evEra      = kernel.RegisterEvent(6030, hclog.Warn, "the store came back from an older copy")
+	evRefenced = kernel.RegisterEvent(6031, hclog.Warn, "owner map of an earlier era of the store put under new fences")
+
 	evLeavingBegins = kernel.RegisterEvent(6034, hclog.Info, "requests of a route begin to leave the data centre")
 	evLeavingEnds   = kernel.RegisterEvent(6035, hclog.Info, "requests of a route leave the data centre no more")
 
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -30,6 +30,7 @@
 	gauge("mangopost_entry_data_centres_evacuated", func() float64 { return float64(n.evacuationCount()) })
 	gauge("mangopost_entry_link_bytes_per_second", func() float64 { return n.link.Sent(steadyClock()) })
 	gauge("mangopost_entry_store_age_seconds", func() float64 { return n.storeAge().Seconds() })
+	gauge("mangopost_entry_store_era", func() float64 { return float64(n.store.Era()) })
 	gauge("mangopost_entry_store_calls_total", func() float64 { return float64(n.store.Calls()) })
 	gauge("mangopost_entry_log_dropped_total", func() float64 { return float64(n.log.Dropped()) })
 	gauge("mangopost_entry_log_sampled_out_total", func() float64 { return float64(n.answerSampler.skipped.Load()) })
@@ -98,6 +99,10 @@
 	c.set.GetOrCreateCounter(`mangopost_entry_sent_bytes_total` + labels).Add(bytes)
 }
 
+func (c *counters) countLoadReport(service string) {
+	c.set.GetOrCreateCounter(fmt.Sprintf(`mangopost_entry_load_reports_total{service=%q}`, service)).Inc()
+}
+
 func (c *counters) countQuarantined() {
 	c.set.GetOrCreateCounter(`mangopost_entry_requests_quarantined_total`).Inc()
 }
--- a/internal/entry/plan.go
+++ b/internal/entry/plan.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/mangopost/mangopost/lease/era"
 	"github.com/mangopost/mangopost/ownership/keyrange"
 	"github.com/mangopost/mangopost/placement/hotrange"
 )
@@ -27,6 +28,9 @@
 			return err
 		}
 	}
+	if done, err := t.renumber(service); done {
+		return err
+	}
 	if err := t.refreshListing(service); err != nil {
 		return errors.Wrap(err, "list targets for the map")
 	}
@@ -36,6 +40,8 @@
 	owned := t.mapOf(service)
 	targets := t.targets(service)
 	switch {
+	case owned.restored != nil:
+		return t.refence(service, owned.restored)
 	case len(targets) == 0:
 		return nil
 	case owned.keys == nil:
@@ -59,7 +65,7 @@
 	if !t.isTargetCountStable(service, len(targets)) {
 		return nil
 	}
-	first := firstMap(service, targets)
+	first := t.firstMap(service, targets)
 	t.recordNewFences(0, first)
 	return t.saveMap(service, first)
 }
@@ -77,7 +83,7 @@
 	for _, m := range moves {
 		t.node.counters.countMove(string(m.Reason))
 		t.node.log.Emit(evMove, "service", service, "from", m.From, "to", m.To, "target", m.Owner.Target,
-			"reason", string(m.Reason), "load", int64(m.Load), "version", t.mapOf(service).version)
+			"reason", string(m.Reason), "load", int64(m.Load), "version", era.Revision(t.mapOf(service).version))
 	}
 	t.startMoves(service)
 	return nil
@@ -164,9 +170,10 @@
 	return now >= g.since+targetCountStableTime
 }
 
-// firstMap distributes all keys among the targets that are not cold, or among all if
-// there are none.
-func firstMap(service string, targets []hotrange.Target) *keyrange.Map {
+// firstMap returns the first map of a service, which distributes all keys among the targets
+// that are not cold, or among all if there are none. Where the store may have lost a map,
+// all grants made under it have to end first.
+func (t *term) firstMap(service string, targets []hotrange.Target) *keyrange.Map {
 	isCold := func(t hotrange.Target) bool { return t.Cold }
 	if warm := slices.DeleteFunc(slices.Clone(targets), isCold); len(warm) > 0 {
 		targets = warm
@@ -176,7 +183,11 @@
 	for i, target := range targets {
 		list[i], weights[i] = target.Owner, target.Capacity
 	}
-	return keyrange.New(service, list, weights)
+	m := keyrange.NewAbove(era.FenceFloor(t.era), service, list, weights)
+	if t.restored {
+		m.Refence(m.Fence)
+	}
+	return m
 }
 
 // targets returns the targets of a service that may own keys.
--- a/internal/entry/term.go
+++ b/internal/entry/term.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/mangopost/mangopost/lease/coordinator"
+	"github.com/mangopost/mangopost/lease/era"
 	"github.com/mangopost/mangopost/ownership/grants"
 	"github.com/mangopost/mangopost/ownership/keyrange"
 	"github.com/mangopost/mangopost/platform"
@@ -57,6 +58,8 @@
 	candidate *candidate
 	node      *Node
 	orders    orders
+	era       uint64          // of the store: the term ends with it
+	restored  bool            // the store may have come back from an older copy before the term
 	ctx       context.Context // ends with the term, and with it all work of the term
 	cancel    context.CancelFunc
 
@@ -69,6 +72,10 @@
 	rangeStates map[rangeKey]*rangeState
 	closed      bool // no further order is sent
 
+	// keptMaps holds the maps of the term before by service until they are written in this
+	// era, if this host goes on from it.
+	keptMaps map[string]*keyrange.Map
+
 	sentMaps map[string]*keyrange.Map // last map of each service that this term tried to write
 	// listingFloors holds for each service the version of the map that another
 	// coordinator wrote: an older listing of targets does not go with it.
@@ -112,25 +119,34 @@
 // newTerm returns a term that starts now. c.mu is held.
 func newTerm(ctx context.Context, c *candidate) *term {
 	ctx, cancel := context.WithCancel(ctx)
-	return &term{
+	kept := c.takeKept()
+	t := &term{
 		candidate: c, node: c.node, ctx: ctx, cancel: cancel,
-		orders:      platform.NewOrders(grantTimeout),
-		ledger:      newLedger(c.election.Predecessor()),
-		maps:        make(map[string]*ownedMap),
-		refusals:    make(map[keyrange.Owner]refusal),
-		rangeStates: make(map[rangeKey]*rangeState),
+		era: c.election.Era(), restored: c.election.WasRestored(),
+		aggregatorsVersion: era.Version(c.election.Era(), 0),
+		orders:             platform.NewOrders(grantTimeout),
+		ledger:             newLedgerOf(kept, c.election),
+		maps:               make(map[string]*ownedMap),
+		refusals:           make(map[keyrange.Owner]refusal),
+		rangeStates:        make(map[rangeKey]*rangeState),
 
 		sentMaps:      make(map[string]*keyrange.Map),
 		listingFloors: make(map[string]uint64),
 
 		targetCounts: make(map[string]targetCount),
 	}
+	if kept != nil {
+		t.keptMaps = kept.maps
+	}
+	return t
 }
 
 // newLedger returns the ledger of a coordinator whose predecessor left the given
 // lease record, first observed at seenAt.
 func newLedger(before coordinator.Record, seenAt time.Duration) *grants.Ledger {
 	if !before.Resigned {
+		// Also where the store's copy does not show the predecessor: its lease has ended by
+		// the margin.
 		return grants.NewLedger(leaseClock(), grantTimeout-coordinator.DefaultTiming.Margin, longGrantHold)
 	}
 	recordedEnd := func(ms int64) time.Duration {
