Reserve cold targets last, and decide with fewer look-ups

A cold target can take little, so slots that are reserved there are of no use; it is now the last in the order of reserved targets. The reserve of a priority is found in a slice, and the cube of the cost is multiplied out.

--- a/admission/pool/routecost.go
+++ b/admission/pool/routecost.go
@@ -6,10 +6,6 @@
 	"time"
 )
 
-// choiceSharpness is the power of a target's cost with which the probability falls that
-// it is chosen.
-const choiceSharpness = 3.0
-
 // costAt returns the cost of running r at a target: if requests of several priorities
 // arrive, that of this route's work. There, and where targets report their load, the
 // target with the least cost is not the same at all hosts: hosts that all send to the
@@ -26,9 +22,10 @@
 }
 
 // drawnCost returns a draw with which the target is chosen with a probability that falls
-// with its cost.
+// with the cube of its cost. With lower powers more requests go to slow targets, with
+// higher ones more hosts choose the same target at once.
 func (p *Pool) drawnCost(cost float64, t *target, r Request) float64 {
-	return math.Pow(cost, choiceSharpness) * -math.Log(p.draw(t, r))
+	return cost * cost * cost * -math.Log(p.draw(t, r))
 }
 
 // routeCost returns the expected time of r at a target in seconds, increased for the risk
--- a/admission/pool/urgent.go
+++ b/admission/pool/urgent.go
@@ -55,17 +55,18 @@
 	others       map[int]float64        // concurrency at all other hosts, by priority; empty: not known
 	isMixed      bool                   // requests of several priorities arrived lately
 
-	meanWork  float64                // of the requests that arrive, in seconds
-	slots     float64                // of all targets that accept work
-	orderedAt time.Duration          // time at which the targets were last ordered
-	reserves  map[int]*reservedSlots // by priority of the requests that must leave them free
-	hostPart  smoothedShare          // this host's part of the requests at targets without reserve
+	meanWork  float64         // of the requests that arrive, in seconds
+	slots     float64         // of all targets that accept work
+	orderedAt time.Duration   // time at which the targets were last ordered
+	reserves  []reservedSlots // by priority of the requests that must leave them free
+	hostPart  smoothedShare   // this host's part of the requests at targets without reserve
 }
 
 // reservedSlots is the decision on the slots that requests of a priority leave free.
 type reservedSlots struct {
-	at    time.Duration
-	slots float64
+	priority int
+	at       time.Duration
+	slots    float64
 }
 
 // routeLoad is what arrives at this host for a route.
@@ -113,7 +114,7 @@
 		return nil
 	}
 	return &urgency{
-		routes: make(map[string]*routeLoad), schedules: make(map[int]*retrySchedule), reserves: make(map[int]*reservedSlots),
+		routes: make(map[string]*routeLoad), schedules: make(map[int]*retrySchedule),
 		others: make(map[int]float64),
 	}
 }
@@ -220,11 +221,12 @@
 	if !u.isActive() {
 		return 0
 	}
-	r := u.reserves[priority]
-	if r == nil {
-		r = &reservedSlots{at: -reserveAge}
-		u.reserves[priority] = r
+	i := slices.IndexFunc(u.reserves, func(r reservedSlots) bool { return r.priority == priority })
+	if i < 0 {
+		i = len(u.reserves)
+		u.reserves = append(u.reserves, reservedSlots{priority: priority, at: -reserveAge})
 	}
+	r := &u.reserves[i]
 	if now >= r.at+reserveAge {
 		p.orderTargets(now)
 		r.at, r.slots = now, u.reserveFor(u.concurrencyBefore(now, priority, p.hostCount))
@@ -244,7 +246,8 @@
 
 // orderTargets determines the order in which targets are reserved. It is the same at all
 // hosts, and spread over the data centres, so that each host is near to some. Targets
-// that no less urgent route may use are the first.
+// that no less urgent route may use are the first, and cold ones, which can take little,
+// the last.
 func (p *Pool) orderTargets(now time.Duration) {
 	u := p.urgency
 	if u.orderedAt > 0 && now < u.orderedAt+reserveAge {
@@ -303,6 +306,8 @@
 	switch {
 	case !usedByUrgent:
 		return neverReserved
+	case now < t.coldUntil:
+		return 2 + place
 	case usedByOthers:
 		return 1 + place
 	default:
--- a/admission/pool/urgent_test.go
+++ b/admission/pool/urgent_test.go
@@ -235,7 +235,7 @@
 
 // Where less urgent requests may run in one region only, targets of the other are
 // reserved: reserved ones at home would be lost to them. Where the urgent ones are bound
-// to a region, targets of the other would be of no use.
+// to a region, targets of the other would be of no use, and cold targets are of little.
 func TestReserveIsWhereUrgentRequestsMayRun(t *testing.T) {
 	var targets []pool.Target
 	for i := range 24 {
@@ -280,6 +280,13 @@
 	assert.Assert(t, home["west"] == 0 && home["east"] > 1, "%v", home)
 	bound := unused([]string{"west"}, nil)
 	assert.Assert(t, bound["west"] > 1 && bound["east"] == 0, "%v", bound)
+	for i := range targets {
+		if targets[i].Region == "east" {
+			targets[i].ColdFor = time.Hour
+		}
+	}
+	warm := unused(nil, nil)
+	assert.Assert(t, warm["west"] > 1 && warm["east"] == 0, "%v", warm)
 }
 
 // Keys decide on the target, and what 59 hosts run at an owner is known late: a reserve
