Refuse all waiting requests that give way, and let others wait at partly reserved targets

Once a waiting request found no target, those after it were not looked at, so that only one that could not be in time any more was refused in each step. And with few targets, which are reserved by slots, the expected wait left their free slots out, so that every less urgent request that could not start was refused.

Both found by the test of waiting requests that is added to TestLessUrgentRequestsLeaveSlotsAndReturnInOrder.

--- a/admission/pool/pool.go
+++ b/admission/pool/pool.go
@@ -313,7 +313,7 @@
 		owner, _ = p.availableOwner(r.Key)
 	}
 	if now < r.NotBefore || *noRoom || fullOwners[owner] {
-		return Action{}, false
+		return p.refuseHopeless(now, r)
 	}
 	t, fence, ok := p.pickTarget(now, r)
 	switch {
--- a/admission/pool/routecost.go
+++ b/admission/pool/routecost.go
@@ -61,6 +61,14 @@
 	return slowness
 }
 
+// speed returns the learned speed of the target as a multiple of the usual.
+func (t *target) speed() float64 {
+	if t.unloadedSlowness.samples == 0 {
+		return 1
+	}
+	return 1 / max(t.unloadedSlowness.value.Seconds(), 0.01)
+}
+
 func (t *target) slotCount() float64 { return float64(max(1, t.Slots)) }
 
 // workOf returns the learned work of a request.
@@ -109,19 +117,22 @@
 			ahead += p.workOf(w)
 		}
 	}
-	slots := 0.0
+	backlog := p.backlogFor(r)
+	atFreeSlots, atOnce := 0.0, 0.0 // work per second of requests that do not wait; requests at targets
 	for _, t := range p.targets {
 		if t.Leaving || !isOpenTo(t, r.Regions) {
 			continue
 		}
-		speed := 1.0
-		if t.unloadedSlowness.samples > 0 {
-			speed = 1 / max(t.unloadedSlowness.value.Seconds(), 0.01)
+		reserved := p.reservedAt(p.now, t, r.Priority)
+		atFreeSlots += (t.slotCount() - reserved) * t.speed()
+		if reserved == 0 {
+			atOnce += t.capacity(backlog)
+		} else {
+			atOnce += t.slotCount() - reserved
 		}
-		slots += max(0, t.slotCount()-p.reservedAt(p.now, t, r.Priority)) * speed
 	}
-	_, _, room := p.unreservedLoad(p.now, r)
-	slots = max(min(slots, room*p.workOf(r).Seconds()/p.expectedTime(r).Seconds())*p.partOfHost(), 0.01)
+	slots := min(atFreeSlots, atOnce*p.workOf(r).Seconds()/max(p.expectedTime(r).Seconds(), 0.001))
+	slots = max(slots*p.partOfHost(), minRetryRate*p.workOf(r).Seconds(), 0.001)
 	wait = p.allPausedFor(p.now) + time.Duration(float64(ahead)/slots)
 	return wait, slots / max(p.workOf(r).Seconds(), 0.001)
 }
--- a/admission/pool/urgent_test.go
+++ b/admission/pool/urgent_test.go
@@ -191,6 +191,11 @@
 		assert.Assert(t, after > backlog && (i == 0 || after >= refused[i-1]), "%v, backlog %v", refused, backlog)
 	}
 	assert.Assert(t, len(refused) > 10 && p.ReservedSlots(now) > 1)
+	assert.Assert(t, p.Waiting() > 0 && len(p.Tick(now+time.Second)) == 0)
+	for _, a := range p.Tick(now + 2200*ms) { // an answer in time is no longer possible
+		assert.Equal(t, a.Reason, pool.Reserved)
+	}
+	assert.Equal(t, p.Waiting(), 0)
 	for s := range 7 { // only less urgent requests arrive from now on
 		p.Arrive(now+time.Duration(s)*time.Second, lessUrgentRequest(uint64(3000+s), now))
 	}
