--- a/admission/pool/pool.go
+++ b/admission/pool/pool.go
@@ -135,6 +135,7 @@
 		t.recordOthers(running[name])
 		t.hostShare = shares[name]
 	}
+	p.recordPriorityLoads(running)
 	p.recordPart()
 	p.observeReport()
 }
@@ -348,7 +349,7 @@
 		owner, _ = p.ownerFor(r)
 	}
 	if now < r.NotBefore || full.covers(r) && !p.isPressed(now, r) || fullOwners[owner] {
-		return Action{}, false
+		return p.refuseHopeless(now, r)
 	}
 	t, fence, ok := p.pickTarget(now, r, regionSet{})
 	switch {
--- a/admission/pool/urgent_test.go
+++ b/admission/pool/urgent_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/mangopost/mangopost/admission/pool"
+	"github.com/mangopost/mangopost/placement/demand"
 )
 
 type rate = func(time.Duration) float64
@@ -82,6 +83,44 @@
 	assert.Assert(t, record.goodShare() > 0.8 && history.goodShare() > 0.65)
 }
 
+// Urgent callers reach a third of the hosts only. The others reserve capacity for them by
+// what the hosts report; before, the less urgent requests were served better.
+func TestHostsReserveForUrgentRequestsOfOthers(t *testing.T) {
+	s := recordsSimulation(67, constant(280), burst(420, 2.4), true)
+	s.routes[0].everyNthHost = 3
+	results := s.run(1)
+	record, history := results["patient-record"], results["history-pull"]
+	t.Logf("urgent: %v; less urgent: %v", record, history)
+	assert.Assert(t, record.goodShare() > 0.83 && history.goodShare() > 0.65)
+}
+
+// What hosts report of their priorities reaches the others through aggregators as through the
+// coordinator alone, in the unit that they expect, and ends with the reports.
+func TestPriorityLoadsReachHostsThroughAggregators(t *testing.T) {
+	busy, now := urgentPool(0, target("a", 6, pool.SameZone))
+	idle, _ := urgentPool(0, target("a", 6, pool.SameZone))
+	now += 6 * time.Second // nothing arrived lately at idle
+	for id := range uint64(40) {
+		now += 10 * ms
+		busy.Arrive(now, urgentRequest(id, now))
+		idle.Arrive(now, lessUrgentRequest(id, now))
+	}
+	assert.Equal(t, idle.ReservedSlots(now), 0.0)
+	none := func(string) map[string]int { return nil }
+	group, table := demand.NewGroup(time.Second), demand.NewTable(time.Second)
+	for host, p := range map[string]*pool.Pool{"busy": busy, "idle": idle} {
+		group.Add(now, demand.Report{Host: host, Services: map[string]demand.ServiceUse{"s": {Running: p.PriorityLoads(now)}}})
+	}
+	group.SetShares(table.AddReport(now, group.Combined("busy"), none))
+	shares, _ := group.Shares("idle", none)
+	idle.SetOtherHostsLoad(shares["s"].Others, nil)
+	now += 100 * ms
+	assert.Assert(t, idle.ReservedSlots(now) > 1, "%v", shares["s"])
+	idle.SetOtherHostsLoad(nil, nil)
+	now += 100 * ms
+	assert.Equal(t, idle.ReservedSlots(now), 0.0)
+}
+
 // A burst of urgent requests takes slots from the less urgent ones.
 func TestBurstOfUrgentRequestsIsServed(t *testing.T) {
 	before, _ := simulateRecords(20, burst(280, 1.9), constant(160), false)
@@ -152,6 +191,11 @@
 		assert.Assert(t, after > backlog && (i == 0 || after >= refused[i-1]), "%v, backlog %v", refused, backlog)
 	}
 	assert.Assert(t, len(refused) > 10 && p.ReservedSlots(now) > 1)
+	assert.Assert(t, p.Waiting() > 0 && len(p.Tick(now+time.Second)) == 0)
+	for _, a := range p.Tick(now + 2200*ms) { // an answer in time is no longer possible
+		assert.Equal(t, a.Reason, pool.Reserved)
+	}
+	assert.Equal(t, p.Waiting(), 0)
 	for s := range 7 { // only less urgent requests arrive from now on
 		p.Arrive(now+time.Duration(s)*time.Second, lessUrgentRequest(uint64(3000+s), now))
 	}
@@ -196,7 +240,7 @@
 
 // Where less urgent requests may run in one region only, targets of the other are
 // reserved: reserved ones at home would be lost to them. Where the urgent ones are bound
-// to a region, targets of the other would be of no use.
+// to a region, targets of the other would be of no use, and cold targets are of little.
 func TestReserveIsWhereUrgentRequestsMayRun(t *testing.T) {
 	var targets []pool.Target
 	for i := range 24 {
@@ -241,6 +285,13 @@
 	assert.Assert(t, home["west"] == 0 && home["east"] > 1, "%v", home)
 	bound := unused([]string{"west"}, nil)
 	assert.Assert(t, bound["west"] > 1 && bound["east"] == 0, "%v", bound)
+	for i := range targets {
+		if targets[i].Region == "east" {
+			targets[i].ColdFor = time.Hour
+		}
+	}
+	warm := unused(nil, nil)
+	assert.Assert(t, warm["west"] > 1 && warm["east"] == 0, "%v", warm)
 }
 
 // Keys decide on the target, and what 59 hosts run at an owner is known late: a reserve
