Tests of crowds of clients that go beyond the limits of a process

The new package internal/crowd starts mangopost-entry and mangopost-router with 96 MiB, 420 descriptors and bodies of at most 8 MiB, and sends crowds of eleven kinds to a path with a route, one without, the readiness path and, for mangopost-entry, the metrics. It checks peak memory (VmHWM), open descriptors and that an ordinary request is answered afterwards. Two further tests send the largest body three times to a calm process.

The stand-in target of the router takes bodies up to 64 MiB (4 MiB before), and e2e.Options has the memory, the body limit and the descriptors of a router.

--- a/Makefile
+++ b/Makefile
@@ -16,8 +16,9 @@
 # SKIP is a regular expression of tests that are passed over; CI sets it.
 SKIP ?=
 test:
-	go test -race -count=1 -timeout 20m -skip '$(SKIP)' $$(go list ./... | grep -v /internal/e2e$$)
+	go test -race -count=1 -timeout 20m -skip '$(SKIP)' $$(go list ./... | grep -v -e /internal/e2e$$ -e /internal/crowd$$)
 	go test -race -count=1 -timeout 20m ./internal/e2e
+	go test -count=1 -timeout 20m ./internal/crowd
 
 generate:
 	go build -o bin/protoc-gen-go google.golang.org/protobuf/cmd/protoc-gen-go
--- a/internal/e2e/cluster.go
+++ b/internal/e2e/cluster.go
@@ -38,6 +38,9 @@
 	HostLag      time.Duration
 	DeadlineMS   int64
 	WhenCut      template.CutPolicy // of the keyed service; default keep
+	MaxBodyBytes int64              // of a caller's request; 0 for the product's default
+	MemoryBytes  int64              // memory limit of each process; 0 for the product's default
+	RouterFiles  int                // descriptors that a router process may open; 0 for the limit of the test
 }
 
 func (o Options) withDefaults() Options {
--- a/internal/e2e/host.go
+++ b/internal/e2e/host.go
@@ -43,7 +43,8 @@
 [[callers]]
 listen = "{{.Callers}}"
 trust_client_header = true
-
+{{with .MaxBodyBytes}}max_body_bytes = {{.}}
+{{end}}
 [router]
 peers = "{{.RouterPeers}}"
 advertise = "{{.RouterAdvertise}}"
@@ -60,7 +61,11 @@
 
 [log]
 level = "debug"
-`))
+{{with .MemoryBytes}}
+[limits]
+memory_bytes = {{.}}
+dedup_bytes = 1048576
+{{end}}`))
 
 // DataCentre returns the name of the host's data centre.
 func (h *Host) DataCentre() string { return h.dataCentre.name }
@@ -68,6 +73,12 @@
 // Region returns the name of the host's region.
 func (h *Host) Region() string { return h.dataCentre.region }
 
+// MaxBodyBytes returns the limit on a caller's body, or 0 for the default.
+func (h *Host) MaxBodyBytes() int64 { return h.cluster.opts.MaxBodyBytes }
+
+// MemoryBytes returns the memory limit of the host's processes, or 0 for the default.
+func (h *Host) MemoryBytes() int64 { return h.cluster.opts.MemoryBytes }
+
 // RouterPeers returns the address of the router's peer listener.
 func (h *Host) RouterPeers() string { return h.routerPeers.listen }
 
@@ -151,5 +162,9 @@
 
 func (h *Host) start(role string) (*Process, error) {
 	program := h.cluster.binaries.path("mangopost-" + role)
+	if files := h.cluster.opts.RouterFiles; role == "router" && files > 0 {
+		return start(h.cluster.dir, h.Name+"-"+role, "/bin/sh", "-c",
+			fmt.Sprintf(`ulimit -n %d && exec "$0" --config "$1"`, files), program, h.settings)
+	}
 	return start(h.cluster.dir, h.Name+"-"+role, program, "--config", h.settings)
 }
--- a/internal/e2e/process.go
+++ b/internal/e2e/process.go
@@ -19,7 +19,7 @@
 // module root, two folders up.
 func Build(ctx context.Context, dir string) (Binaries, error) {
 	cmd := exec.CommandContext(ctx, "go", "build", "-o", dir,
-		"./cmd/mangopost-router", "./cmd/mangopost-placer", "./cmd/mangopost-standin", "./cmd/mangopostctl")
+		"./cmd/mangopost-router", "./cmd/mangopost-placer", "./cmd/mangopost-standin", "./cmd/mangopostctl", "./cmd/mangopost-entry")
 	cmd.Dir = filepath.Join("..", "..")
 	out, err := cmd.CombinedOutput()
 	return Binaries{dir: dir}, errors.Wrapf(err, "build: %s", out)
@@ -58,6 +58,9 @@
 	return p, nil
 }
 
+// PID returns the ID of the process.
+func (p *Process) PID() int { return p.cmd.Process.Pid }
+
 func (p *Process) wait() {
 	err := p.cmd.Wait()
 	p.logFile.Close()
--- a/internal/standin/target_http.go
+++ b/internal/standin/target_http.go
@@ -30,7 +30,7 @@
 	grantHeader          = "Mangopost-Grant"
 )
 
-const maxRequestBytes = 4 << 20
+const maxRequestBytes = 64 << 20
 
 func (t *Target) handler(p *process) http.Handler {
 	mux := http.NewServeMux()
