mangopost-entry: bounds on what is held for clients and targets

Cause: nothing counted the bodies and heads of requests, and nothing limited the connections. Each body was read with a buffer that grows and encoded once more for the target. 32 bodies of 8 MiB took 331 MiB of 96.

The new package internal/memlimit bounds the bytes of heads, bodies and answers together by the process's memory (self.limits.memoryMb), and the connections by its descriptors (self.limits.maxFds, decoded by platform). Near a bound, the holder with the most bytes and the longest time without progress gives way: 503 with Retry-After while nothing was passed on, or the connection is closed. A request that was passed on stays. A body is in memory once: only its head is encoded, and its parts are written from where they are. Readiness and metrics have few connections and short limits. A body whose declared length is over the limit is not read.

The tests of answer memory use the Limit that replaces answerMemory; their cases and the bound on the heap are the same.

--- a/internal/entry/answermemory.go
+++ b/internal/entry/answermemory.go
@@ -6,87 +6,57 @@
 	"net/http"
 
 	"github.com/cockroachdb/errors"
-	"golang.org/x/sync/semaphore"
+
+	"github.com/mangopost/mangopost/internal/memlimit"
 )
 
 const (
-	// answerMemoryShare is the part of the process's memory that targets' answers may
-	// use together.
-	answerMemoryShare = 0.25
 	// freeAnswerBytes is the size up to which an answer is not counted.
 	freeAnswerBytes = 16 << 10
-	// answerChunkBytes is the size of the further parts in which memory is taken for an
-	// answer.
-	answerChunkBytes = 256 << 10
+	// firstPartBytes is the size of the first part of a body, and partBytes that of the
+	// further ones, in which memory is taken for it.
+	firstPartBytes = freeAnswerBytes
+	partBytes      = 256 << 10
 )
 
 // errAnswerTooLarge reports an answer of more than maxAnswerBytes.
 var errAnswerTooLarge = errors.Newf("answer exceeds %d bytes", maxAnswerBytes)
 
-// answerMemory limits the memory that the answers of all targets use together.
-type answerMemory struct {
-	bytes int64
-	free  *semaphore.Weighted
-}
-
-// newAnswerMemory returns the limit for a process that may use the given number of
-// bytes. One answer of the maximum size always fits.
-func newAnswerMemory(processBytes int64) *answerMemory {
-	total := max(int64(answerMemoryShare*float64(processBytes)), maxAnswerBytes+answerChunkBytes)
-	return &answerMemory{bytes: total, free: semaphore.NewWeighted(total)}
-}
-
-// reservation is the memory taken for one answer.
-type reservation struct {
-	memory *answerMemory
-	taken  int64
-}
-
-// release returns the memory. It may be called more than once.
-func (r *reservation) release() {
-	if r != nil && r.taken > 0 {
-		r.memory.free.Release(r.taken)
-		r.taken = 0
-	}
-}
-
-// grow takes more memory and waits until there is some, or ctx ends.
-func (r *reservation) grow(ctx context.Context, size int64) error {
-	if err := r.memory.free.Acquire(ctx, size); err != nil {
-		return errors.Wrap(err, "wait for memory for the answer")
-	}
-	r.taken += size
-	return nil
-}
-
-// readAll reads a body of the given length, or -1 if it is not known, in parts. The
-// reservation must be released when they are no longer used; it is nil after an error.
-func (m *answerMemory) readAll(ctx context.Context, body io.Reader, length int64) ([][]byte, *reservation, error) {
+// readAnswerBody reads the body of an answer of the given length, or -1 if it is not
+// known, in parts, and takes the memory for them. The holder must be closed when they
+// are no longer used; it is nil after an error.
+func readAnswerBody(ctx context.Context, limit *memlimit.Limit, body io.Reader, length int64) ([][]byte, *memlimit.Holder, error) {
 	if length > maxAnswerBytes {
 		return nil, nil, errAnswerTooLarge
 	}
-	r := &reservation{memory: m}
 	if body == http.NoBody { // the length of an answer to HEAD is that of no body
-		return nil, r, nil
+		return nil, nil, nil
 	}
-	parts, err := r.read(ctx, body, length)
+	h := limit.Answer()
+	parts, err := partReader{holder: h, free: freeAnswerBytes, limit: maxAnswerBytes}.read(ctx, body, length)
 	if err != nil {
-		r.release()
+		h.Close()
 		return nil, nil, err
 	}
-	return parts, r, nil
+	return parts, h, nil
+}
+
+// partReader reads bodies in parts and takes the memory for each part before it reads
+// it. Parts are not joined: a buffer that grows holds more than was taken for it.
+type partReader struct {
+	holder *memlimit.Holder
+	free   int64 // bytes at the beginning that are not counted
+	limit  int64 // of the body; a longer one gives errAnswerTooLarge
 }
 
-// read reads a body in parts, each taken from the memory before it is read. Parts are
-// not joined: a buffer that grows holds more than was taken for it.
-func (r *reservation) read(ctx context.Context, body io.Reader, length int64) (parts [][]byte, err error) {
-	total, size := int64(0), int64(freeAnswerBytes)
+func (p partReader) read(ctx context.Context, body io.Reader, length int64) (parts [][]byte, err error) {
+	total, size := int64(0), int64(firstPartBytes)
 	for length < 0 || total < length {
 		if length >= 0 {
 			size = min(size, length-total)
 		}
-		if total > 0 {
-			if err := r.grow(ctx, size); err != nil {
+		if total+size > p.free {
+			if err := p.holder.Take(ctx, size); err != nil {
 				return nil, err
 			}
 		}
@@ -94,7 +64,7 @@
 		parts = append(parts, part)
 		total += int64(len(part))
 		switch {
-		case total > maxAnswerBytes:
+		case total > p.limit:
 			return nil, errAnswerTooLarge
 		case errors.Is(err, io.EOF) && (length < 0 || total == length):
 			return parts, nil
@@ -103,7 +73,7 @@
 		case err != nil:
 			return nil, err
 		}
-		size = answerChunkBytes
+		size = partBytes
 	}
 	return parts, nil
 }
--- a/internal/entry/answermemory_test.go
+++ b/internal/entry/answermemory_test.go
@@ -10,12 +10,14 @@
 
 	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
+
+	"github.com/mangopost/mangopost/internal/memlimit"
 )
 
 // A body is whole only at its clean end, and what it takes of the memory is returned.
 func TestAnswerMemory(t *testing.T) {
 	broken := errors.New("broken")
-	long := strings.Repeat("x", 3*answerChunkBytes)
+	long := strings.Repeat("x", 3*partBytes)
 	for name, c := range map[string]struct {
 		body   io.Reader
 		length int64
@@ -34,33 +36,33 @@
 		"length too large":    {strings.NewReader(""), maxAnswerBytes + 1, "", errAnswerTooLarge},
 	} {
 		t.Run(name, func(t *testing.T) {
-			m := newAnswerMemory(0)
-			parts, taken, err := m.readAll(t.Context(), c.body, c.length)
+			limit := memlimit.New(0, nil)
+			parts, taken, err := readAnswerBody(t.Context(), limit, c.body, c.length)
 			if c.err != nil {
 				assert.ErrorIs(t, err, c.err)
 			} else {
 				assert.NilError(t, err)
 				assert.Assert(t, string(bytes.Join(parts, nil)) == c.want)
 			}
-			taken.release()
-			taken.release()
-			assert.Assert(t, m.free.TryAcquire(m.bytes), "not all memory was returned")
+			taken.Close()
+			taken.Close()
+			assert.Equal(t, limit.Used(), int64(0), "not all memory was returned")
 		})
 	}
 }
 
 // An answer waits for memory that others hold, until its time is over.
 func TestAnswerWaitsForMemory(t *testing.T) {
-	m := newAnswerMemory(0)
-	assert.NilError(t, m.free.Acquire(t.Context(), m.bytes))
+	limit := memlimit.New(0, nil)
+	assert.NilError(t, limit.Answer().Take(t.Context(), limit.AnswerTotal()))
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
-	_, _, err := m.readAll(ctx, strings.NewReader(strings.Repeat("x", freeAnswerBytes+1)), -1)
+	_, _, err := readAnswerBody(ctx, limit, strings.NewReader(strings.Repeat("x", freeAnswerBytes+1)), -1)
 	assert.ErrorIs(t, err, context.Canceled)
-	parts, taken, err := m.readAll(ctx, strings.NewReader("small"), -1)
+	parts, taken, err := readAnswerBody(ctx, limit, strings.NewReader("small"), -1)
 	assert.NilError(t, err)
 	assert.Equal(t, string(bytes.Join(parts, nil)), "small", "a small answer does not wait")
-	taken.release()
+	taken.Close()
 }
 
 // zeros reads zero bytes without end.
--- a/internal/entry/answers_test.go
+++ b/internal/entry/answers_test.go
@@ -122,7 +122,7 @@
 			const requests = 24
 			target := startScriptedTarget(t, script)
 			n, url := newServingNode(t, target)
-			bound := n.answerMemory.bytes
+			bound := n.memory.AnswerTotal()
 			var before, after runtime.MemStats
 			runtime.GC()
 			runtime.ReadMemStats(&before)
--- a/internal/entry/callerconn.go
+++ b/internal/entry/callerconn.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -19,12 +20,16 @@
 	// lingerTimeout is how long a closed connection of a caller is still read: if
 	// unread bytes were left when it is closed, the caller could lose the last answer.
 	lingerTimeout = 300 * time.Millisecond
+	// maxLingering limits the number of closed connections that are still read. Beyond it,
+	// connections are closed at once: their callers are a crowd.
+	maxLingering = 32
 )
 
 // callerListener accepts callers' connections.
 type callerListener struct {
 	net.Listener
 	lingering sync.WaitGroup // connections that are closed but still read
+	count     atomic.Int64   // of them
 }
 
 // Accept implements net.Listener.
@@ -65,8 +70,8 @@
 // callerConnKey is the context key of a request's callerConn.
 type callerConnKey struct{}
 
-// connContext is the http.Server's ConnContext.
-func connContext(ctx context.Context, conn net.Conn) context.Context {
+// callerContext stores a caller's connection in the context of its requests.
+func callerContext(ctx context.Context, conn net.Conn) context.Context {
 	c, ok := conn.(*callerConn)
 	if !ok {
 		return ctx
@@ -191,9 +196,14 @@
 	if ended || c.CloseWrite() != nil {
 		return c.Conn.Close()
 	}
+	if c.listener.count.Add(1) > maxLingering {
+		c.listener.count.Add(-1)
+		return c.Conn.Close()
+	}
 	c.listener.lingering.Add(1)
 	go func() {
 		defer c.listener.lingering.Done()
+		defer c.listener.count.Add(-1)
 		defer c.Conn.Close()
 		// An error means that the connection has ended, as is wanted.
 		_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTimeout))
@@ -201,3 +211,14 @@
 	}()
 	return nil
 }
+
+// Abort closes the connection at once; what has not been sent is lost.
+func (c *callerConn) Abort() {
+	c.mu.Lock()
+	c.hasEnded = true // nothing is read after Close
+	c.mu.Unlock()
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // fails only on a closed connection
+	}
+	_ = c.Conn.Close()
+}
--- a/internal/entry/events.go
+++ b/internal/entry/events.go
@@ -28,6 +28,8 @@
 
 	evLeaving = kernel.RegisterEvent(6016, hclog.Info, "target says that it is leaving")
 
+	evHeld = kernel.RegisterEvent(6026, hclog.Warn, "clients had to give way: the process holds as much as it may")
+
 	evAnswered = kernel.RegisterEvent(6100, hclog.Info, "request answered by a target")
 	evRefused  = kernel.RegisterEvent(6101, hclog.Info, "request refused: not run")
 	evUnknown  = kernel.RegisterEvent(6102, hclog.Warn, "request ended without an answer: it may have run")
--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -15,6 +15,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/mangopost/mangopost/admission/pool"
+	"github.com/mangopost/mangopost/internal/memlimit"
 	"github.com/mangopost/mangopost/ownership/keyrange"
 	"github.com/mangopost/mangopost/platform"
 	"github.com/mangopost/mangopost/routing"
@@ -49,14 +50,18 @@
 type answer struct {
 	status int
 	header http.Header
-	body   [][]byte     // in parts
-	memory *reservation // of body
+	body   [][]byte         // in parts
+	memory *memlimit.Holder // of body
 }
 
 // length returns the size of the body in bytes.
 func (a *answer) length() int {
+	return partsLength(a.body)
+}
+
+func partsLength(parts [][]byte) int {
 	total := 0
-	for _, part := range a.body {
+	for _, part := range parts {
 		total += len(part)
 	}
 	return total
@@ -84,7 +89,7 @@
 // release returns the memory of the answer, which must not be used any more.
 func (t attempt) release() {
 	if t.answer != nil {
-		t.answer.memory.release()
+		t.answer.memory.Close()
 	}
 }
 
@@ -94,7 +99,7 @@
 	uri    string // path and query, unchanged
 	host   string
 	header http.Header // without hop-by-hop headers
-	body   []byte
+	body   [][]byte    // in parts
 	id     string
 	unsafe bool          // not idempotent: must not run twice
 	sentOn []*targetConn // connections on which it was sent
@@ -210,9 +215,8 @@
 		Method: o.method, URL: &url.URL{Scheme: "http", Host: o.host, Opaque: o.placeholderURI()}, Host: o.host,
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Header: header,
 	}
-	if len(o.body) > 0 {
-		req.Body = io.NopCloser(bytes.NewReader(o.body))
-		req.ContentLength = int64(len(o.body))
+	if length := partsLength(o.body); length > 0 {
+		req.ContentLength = int64(length)
 	} else if o.method != http.MethodGet && o.method != http.MethodHead {
 		req.Body = http.NoBody
 	}
@@ -226,10 +230,27 @@
 	return "/" + strings.Repeat("x", max(0, len(o.uri)-1))
 }
 
-// encode encodes a request of buildRequest with the caller's own path and query.
-func (o *outboundRequest) encode(req *http.Request) (*bytes.Buffer, error) {
+// errHeadEnd ends the encoding of a request at the end of its head.
+var errHeadEnd = errors.New("end of head")
+
+// headEnd is the body of a request of which only the head is encoded.
+type headEnd struct{ isReached bool }
+
+// Read implements io.Reader. net/http calls it once it has written the head.
+func (h *headEnd) Read([]byte) (int, error) {
+	h.isReached = true
+	return 0, errHeadEnd
+}
+
+// encodeHead encodes the head of a request of buildRequest with the caller's own path
+// and query. The body is sent from where it is, so that it is in memory only once.
+func (o *outboundRequest) encodeHead(req *http.Request) (*bytes.Buffer, error) {
+	end := &headEnd{}
+	if req.ContentLength > 0 {
+		req.Body = io.NopCloser(end)
+	}
 	var buf bytes.Buffer
-	if err := req.Write(&buf); err != nil {
+	if err := req.Write(&buf); err != nil && !end.isReached {
 		return nil, errors.Wrap(err, "encode request")
 	}
 	copy(buf.Bytes()[len(o.method+" "):], o.uri)
@@ -240,17 +261,21 @@
 // background, and its result is delivered to written. sent reports whether any
 // byte may have been sent.
 func (o *outboundRequest) write(conn *targetConn, req *http.Request, written chan<- error) (sent bool, err error) {
-	buf, err := o.encode(req)
+	buf, err := o.encodeHead(req)
 	if err != nil {
 		return false, err
 	}
-	if buf.Len() > asyncBodyBytes {
+	if buf.Len()+partsLength(o.body) > asyncBodyBytes {
+		parts := append(net.Buffers{buf.Bytes()}, o.body...)
 		go func() {
-			_, err := conn.Write(buf.Bytes())
+			_, err := parts.WriteTo(conn)
 			written <- err
 		}()
 		return true, nil
 	}
+	for _, part := range o.body {
+		buf.Write(part)
+	}
 	count, err := conn.Write(buf.Bytes())
 	written <- err
 	return count > 0, errors.Wrap(err, "send request")
@@ -270,13 +295,13 @@
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
-		body, memory, err := n.answerMemory.readAll(ctx, resp.Body, resp.ContentLength)
+		body, memory, err := readAnswerBody(ctx, n.memory, resp.Body, resp.ContentLength)
 		if err != nil {
 			return nil, platform.AnswerHeaders{}, false, errors.Wrap(err, "read answer body")
 		}
 		headers := platform.ReadAnswerHeaders(resp.StatusCode, resp.Header)
 		if !conn.answers(id, headers) {
-			memory.release()
+			memory.Close()
 			reusable = false
 			if resp.Close {
 				break
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -2,19 +2,16 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"net/textproto"
-	"os"
 	"slices"
 	"strconv"
 	"strings"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/mangopost/mangopost/admission/pool"
+	"github.com/mangopost/mangopost/internal/memlimit"
 	"github.com/mangopost/mangopost/kernel"
 	"github.com/mangopost/mangopost/membership/directory"
 	"github.com/mangopost/mangopost/platform"
@@ -49,6 +46,7 @@
 	route           *routing.Route
 	service         *service
 	outbound        *outboundRequest
+	memory          *memlimit.Holder // of the request; may be nil
 	number          uint64
 	arrived         time.Duration
 	deadline        time.Duration // when an answer stops being of use
@@ -64,7 +62,10 @@
 	if n.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	c.memory = memlimit.BeginRequest(r)
+	defer func() { c.memory.MayEnd(memlimit.AbortConn(r)) }()
 	if !c.findRoute() || !c.applyStop() || !c.readBody() {
+		c.limitUnreadBody()
 		return
 	}
 	if c.isQuarantined() {
@@ -116,46 +117,6 @@
 	return host
 }
 
-// readBody reads the whole body. If it reports false, the caller has been
-// answered.
-func (c *call) readBody() bool {
-	limit := c.table.Limits.BodyBytes
-	if limit <= 0 {
-		limit = defaultMaxBodyBytes
-	}
-	body, err := c.readAllWithin(limit)
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		c.w.Header().Set("Connection", "close")
-		c.fail(http.StatusRequestTimeout, "body-too-slow", err)
-		return false
-	case errors.As(err, &tooLarge):
-		c.fail(http.StatusRequestEntityTooLarge, "body-too-large", err)
-		return false
-	case err != nil:
-		c.fail(http.StatusBadRequest, "body-broken-off", err)
-		return false
-	}
-	c.outbound = &outboundRequest{
-		method: c.r.Method, uri: c.r.RequestURI, host: c.r.Host, header: endToEndHeaders(c.r.Header),
-		body: body, id: c.ID, unsafe: !c.route.Idempotent,
-	}
-	return true
-}
-
-// readAllWithin reads the body until the request's deadline.
-func (c *call) readAllWithin(limit int64) ([]byte, error) {
-	if c.r.Body == http.NoBody {
-		return nil, nil
-	}
-	control := http.NewResponseController(c.w)
-	// Only the writers of tests do not support deadlines.
-	_ = control.SetReadDeadline(time.Now().Add(c.deadline - steadyClock()))
-	defer control.SetReadDeadline(time.Time{})
-	return io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, limit))
-}
-
 // hopByHopHeaders are the headers that concern a single connection.
 var hopByHopHeaders = []string{
 	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
@@ -265,6 +226,7 @@
 }
 
 func (c *call) deliver(a *answer) {
+	c.beginDelivery(a)
 	h := c.w.Header()
 	for name, values := range endToEndHeaders(a.header) {
 		h[name] = values
@@ -279,6 +241,7 @@
 			c.logLeft("answered")
 			return
 		}
+		a.memory.Progress()
 	}
 }
 
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -20,6 +20,8 @@
 	gauge("mangopost_entry_ready", func() float64 { return boolToFloat(n.isReady()) })
 	gauge("mangopost_entry_coordinator", func() float64 { return boolToFloat(n.candidate.holdsLease()) })
 	gauge("mangopost_entry_requests_in_flight", func() float64 { return float64(n.inFlight.Load()) })
+	gauge("mangopost_entry_held_bytes", func() float64 { return float64(n.memory.Used()) })
+	gauge("mangopost_entry_held_bytes_max", func() float64 { return float64(n.memory.Total()) })
 	gauge("mangopost_entry_configuration_version", func() float64 {
 		if t := n.table.Load(); t != nil {
 			return float64(t.Version)
@@ -84,3 +86,12 @@
 func (c *counters) countMove(reason string) {
 	c.set.GetOrCreateCounter(fmt.Sprintf(`mangopost_entry_moves_total{reason=%q}`, reason)).Inc()
 }
+
+func (c *counters) countHeldRefusal(reason string) {
+	c.set.GetOrCreateCounter(fmt.Sprintf(`mangopost_entry_held_refusals_total{reason=%q}`, reason)).Inc()
+}
+
+// gaugeConnections reports the number of callers' connections.
+func (c *counters) gaugeConnections(open func() int) {
+	c.set.GetOrCreateGauge("mangopost_entry_caller_connections", func() float64 { return float64(open()) })
+}
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -16,6 +16,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/mangopost/mangopost/admission/pool"
+	"github.com/mangopost/mangopost/internal/memlimit"
 	"github.com/mangopost/mangopost/kernel"
 	"github.com/mangopost/mangopost/membership/directory"
 	"github.com/mangopost/mangopost/ownership/keyrange"
@@ -53,7 +54,8 @@
 	log           *kernel.EventLog
 	store         *platform.Store
 	conns         *connPool
-	answerMemory  *answerMemory
+	memory        *memlimit.Limit
+	heldLog       memlimit.Refusals
 	counters      *counters
 	answerSampler sampler
 
@@ -100,17 +102,17 @@
 		aggregation: newAggregation(),
 		reportNow:   make(chan struct{}, 1),
 
-		answerMemory: newAnswerMemory(s.Memory),
-		quarantine:   newQuarantine(),
-		services:     make(map[string]*service),
-		splitter:     routing.NewSplitter(),
-		owners:       make(map[string]owners),
-		history:      make(ownersHistory),
+		quarantine: newQuarantine(),
+		services:   make(map[string]*service),
+		splitter:   routing.NewSplitter(),
+		owners:     make(map[string]owners),
+		history:    make(ownersHistory),
 		directory: directory.New(directory.Timing{
 			OutageAfter:  2 * s.Heartbeat,
 			ReturnPeriod: storeReturn,
 		}),
 	}
+	n.memory = memlimit.New(s.Memory, n.recordHeldRefusal)
 	n.settings.Store(s)
 	n.hostCount.Store(assumedHosts)
 	n.mayUseHint.Store(true)
--- a/internal/entry/servers.go
+++ b/internal/entry/servers.go
@@ -12,6 +12,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/mangopost/mangopost/internal/memlimit"
 	"github.com/mangopost/mangopost/platform"
 )
 
@@ -53,7 +54,9 @@
 	if err != nil {
 		return err
 	}
-	listener := &callerListener{Listener: accepting}
+	callers := &callerListener{Listener: accepting}
+	listener := memlimit.NewListener(callers, n.memory, n.connections().Clients)
+	n.counters.gaugeConnections(listener.Open)
 	server := &http.Server{
 		Handler:           n,
 		ReadHeaderTimeout: headerTimeout,
@@ -63,6 +66,7 @@
 		// Requests are not cancelled by the stop signal.
 		BaseContext: func(net.Listener) context.Context { return context.WithoutCancel(ctx) },
 		ConnContext: connContext,
+		ConnState:   memlimit.ConnState,
 	}
 	serveErr := make(chan error, 1)
 	go func() { serveErr <- server.Serve(listener) }()
@@ -87,7 +91,7 @@
 	if err := server.Shutdown(flushCtx); err != nil {
 		_ = server.Close() // connections without a request are left
 	}
-	listener.awaitLingering()
+	callers.awaitLingering()
 	return nil
 }
 
@@ -144,10 +148,11 @@
 	if err != nil {
 		return err
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, ErrorLog: log.New(io.Discard, "", 0)}
+	server := newOperatorServer(handler, log.New(io.Discard, "", 0))
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() }) // nothing is lost: the process exits
 	defer stop()
-	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+	bounded := memlimit.NewListener(listener, n.memory, n.connections().Operators)
+	if err := server.Serve(bounded); !errors.Is(err, http.ErrServerClosed) {
 		return errors.Wrapf(err, "serve %s", addr)
 	}
 	return nil
--- a/internal/entry/targetend.go
+++ b/internal/entry/targetend.go
@@ -32,7 +32,9 @@
 		_, _ = d.WriteString(part)
 		_, _ = d.Write([]byte{0})
 	}
-	_, _ = d.Write(c.outbound.body)
+	for _, part := range c.outbound.body {
+		_, _ = d.Write(part)
+	}
 	return routing.Fingerprint(d.Sum64())
 }
 
