mangopost-router: bounds on what is held for callers

Buffers doubled while bodies were read. 32 bodies of 8 MiB took 331 MiB of 96.

The router uses internal/memlimit with its own settings: limits.memory_bytes, without what the dedup tables may take, and the new limits.max_files, by default the resource limit of the process. A body of known length is read into one buffer of that length, once its first MiB has come. A body whose declared length is over the limit is not read. Requests of other hosts and answers that are buffered are counted as well. A refusal is 503 with reason memory, and not run. The soft memory limit of the runtime is 0.7 of memory_bytes for router and placer (1.0 before): 0.8 gave 86 of 96 MiB.

--- a/cmd/mangopost-router/main.go
+++ b/cmd/mangopost-router/main.go
@@ -41,6 +41,8 @@
 		Operators:  h.Router.Operators,
 		Placers:    append([]string{h.Placer.Peers}, h.Placer.Seeds...),
 		DedupBytes: h.Limits.DedupBytes,
+		Memory:     h.Limits.MemoryBytes,
+		Files:      h.Limits.MaxFiles,
 		Timing:     lease.DefaultTiming,
 		ServerTLS:  env.ServerTLS,
 		ClientTLS:  env.ClientTLS,
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -31,6 +31,10 @@
 // traceFileMode makes a trace readable by its owner only.
 const traceFileMode = 0o600
 
+// memoryShare is the part of the process's memory limit from which the garbage
+// collector runs more often. With 0.8, a crowd of bodies took a router to 86 of 96 MiB.
+const memoryShare = 0.7
+
 // Options holds the command line of a daemon.
 type Options struct {
 	Config string `long:"config" short:"c" required:"true" value-name:"FILE" description:"settings file of this host (TOML)"`
@@ -77,7 +81,7 @@
 }
 
 func runDaemon(name string, host *settings.Host, tracePath string, run func(ctx context.Context, env Env) error) int {
-	debug.SetMemoryLimit(host.Limits.MemoryBytes)
+	debug.SetMemoryLimit(int64(memoryShare * float64(host.Limits.MemoryBytes)))
 	env := Env{Host: host, Logger: newLogger(name, host.Log), Run: uint64(time.Now().UnixNano())}
 	var err error
 	if env.ServerTLS, env.ClientTLS, err = peerTLSConfigs(host.PeerTLS); err != nil {
--- a/internal/router/callerconn.go
+++ b/internal/router/callerconn.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"sync/atomic"
 	"time"
+
+	"github.com/mangopost/mangopost/internal/memlimit"
 )
 
 const (
@@ -32,6 +34,7 @@
 	reasonHeaderTooLarge     reason = "header-too-large"
 	reasonSlowSender         reason = "slow-sender"
 	reasonTooManyConnections reason = "too-many-connections"
+	reasonMemory             reason = "memory"
 )
 
 const (
@@ -179,6 +182,14 @@
 	return c.Conn.Close()
 }
 
+// Abort closes the connection at once; what has not been sent is lost.
+func (c *callerConn) Abort() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // fails only on a closed connection
+	}
+	_ = c.Close()
+}
+
 // refusalReason returns why net/http refused a request, derived from the status
 // line of its answer.
 func refusalReason(answer []byte) reason {
@@ -204,7 +215,7 @@
 
 // withCallerConn stores the connection in the context of its requests.
 func withCallerConn(ctx context.Context, conn net.Conn) context.Context {
-	return context.WithValue(ctx, callerConnKey{}, conn)
+	return context.WithValue(memlimit.WithConn(ctx, conn), callerConnKey{}, memlimit.Inner(conn))
 }
 
 // markHandled records on the connection that the handler answers this request.
@@ -216,7 +227,8 @@
 
 // resetIdleConn resets the per-request state of a connection that became idle.
 func resetIdleConn(conn net.Conn, state http.ConnState) {
-	c, ok := conn.(*callerConn)
+	memlimit.ConnState(conn, state)
+	c, ok := memlimit.Inner(conn).(*callerConn)
 	if !ok || state != http.StateIdle {
 		return
 	}
--- a/internal/router/config.go
+++ b/internal/router/config.go
@@ -34,6 +34,8 @@
 	Operators  string   // listen address for operators
 	Placers    []string // peer addresses of placers; this host's placer is first
 	DedupBytes int64
+	Memory     int64 // of the process, in bytes; 0 means 256 MiB
+	Files      int   // descriptors that the process may open; 0 means its resource limit
 	Timing     lease.Timing
 	ServerTLS  *tls.Config // if nil, plain TCP
 	ClientTLS  *tls.Config
--- a/internal/router/events.go
+++ b/internal/router/events.go
@@ -41,6 +41,7 @@
 	evRelayed          = kernel.RegisterEvent(1046, hclog.Info, "request relayed to its gateway")
 	evProbeStarted     = kernel.RegisterEvent(1047, hclog.Warn, "probe run of a quarantined request started")
 	evProbeEnded       = kernel.RegisterEvent(1048, hclog.Warn, "probe run of a quarantined request ended")
+	evHeld             = kernel.RegisterEvent(1049, hclog.Warn, "clients had to give way: the process holds as much as it may")
 	evRecordEnded      = kernel.RegisterEvent(1040, hclog.Warn, "recording ended")
 )
 
--- a/internal/router/ingress.go
+++ b/internal/router/ingress.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/mangopost/mangopost/internal/memlimit"
 	"github.com/mangopost/mangopost/internal/wire/pb"
 )
 
@@ -22,13 +23,17 @@
 	now := time.Now()
 	markHandled(r)
 	closeAfterChunkedBody(w, r)
+	held := memlimit.BeginRequest(r)
+	defer held.MayEnd(memlimit.AbortConn(r))
 	id := in.router.requestID(r)
 	t := in.router.table.Load()
 	q, err := t.parse(r, in.listener, id, now)
 	if err == nil {
+		q.held = held
 		err = q.readBody(w, r, in.listener)
 	}
 	if err != nil {
+		limitUnreadBody(w, r)
 		in.refuse(w, id, err)
 		return
 	}
@@ -49,7 +54,7 @@
 	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
 	defer cancel()
 	q.forward.Fingerprint = fingerprint(q.forward)
-	out := &callerSink{w: w}
+	out := &callerSink{w: w, held: q.held, abort: memlimit.AbortConn(r)}
 	a := in.router.deliver(ctx, q, out)
 	in.router.logRouted(q, a, time.Since(began))
 	if out.started {
@@ -74,7 +79,9 @@
 		refused = badRequest(err.Error())
 	}
 	in.router.metrics.recordRefused(refused.reason)
-	in.router.log.Emit(evRefusedAtIngress, "request", id, "status", refused.status, "reason", string(refused.reason), "detail", refused.message)
+	if refused.reason != reasonMemory { // recordHeldRefusal writes these together
+		in.router.log.Emit(evRefusedAtIngress, "request", id, "status", refused.status, "reason", string(refused.reason), "detail", refused.message)
+	}
 	a := notRun(id, refused.reason)
 	a.Status = uint32(refused.status)
 	a.RetryAfterMs = refused.retryAfter().Milliseconds()
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -29,9 +29,16 @@
 	m.grantsCarried = m.set.NewCounter(`mangopost_grants_total{sent="with_request"}`)
 	m.set.NewGauge("mangopost_log_events_dropped_total", func() float64 { return float64(r.log.Dropped()) })
 	m.set.NewGauge("mangopost_config_version", func() float64 { return float64(r.table.Load().configVersion) })
+	m.set.NewGauge("mangopost_held_bytes", func() float64 { return float64(r.memory.Used()) })
+	m.set.NewGauge("mangopost_held_bytes_max", func() float64 { return float64(r.memory.Total()) })
 	return m
 }
 
+// recordHeldRefusal counts a client that had to give way.
+func (m *routerMetrics) recordHeldRefusal(reason string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`mangopost_held_refusals_total{reason=%q}`, reason)).Inc()
+}
+
 // serviceMetrics holds the metrics of one service's requests.
 type serviceMetrics struct {
 	requestsTotal  map[pb.Outcome]*metrics.Counter
--- a/internal/router/operators.go
+++ b/internal/router/operators.go
@@ -11,7 +11,10 @@
 	"github.com/cockroachdb/errors"
 )
 
-const operatorsHeaderTimeout = 5 * time.Second
+const (
+	operatorsHeaderTimeout = 5 * time.Second
+	operatorsHeaderBytes   = 16 << 10
+)
 
 // stateDump is the answer to GET /state on the operators' listener.
 type stateDump struct {
@@ -113,16 +116,6 @@
 	_ = json.NewEncoder(w).Encode(v)
 }
 
-// serveHTTP runs an HTTP server on its address until ctx ends, then waits at most
-// grace for requests in flight.
-func serveHTTP(ctx context.Context, server *http.Server, grace time.Duration) error {
-	l, err := net.Listen("tcp", server.Addr)
-	if err != nil {
-		return errors.Wrapf(err, "listen on %s", server.Addr)
-	}
-	return serveOn(ctx, server, l, grace)
-}
-
 // serveOn runs an HTTP server on a listener until ctx ends, then waits at most grace
 // for requests in flight.
 func serveOn(ctx context.Context, server *http.Server, l net.Listener, grace time.Duration) error {
--- a/internal/router/peers.go
+++ b/internal/router/peers.go
@@ -91,6 +91,12 @@
 	defer r.gateway.answering.Add(-1)
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(f.DeadlineMs)*time.Millisecond)
 	defer cancel()
+	held := r.memory.Request(nil)
+	defer held.Close()
+	if held.Take(ctx, int64(len(f.Body))) != nil {
+		// Nothing was passed on yet.
+		return s.Send(&pb.Frame{Body: &pb.Frame_Answer{Answer: refused(f.Id, reasonMemory, memoryRetryAfter)}})
+	}
 	a := r.handlePeerRequest(ctx, f, s)
 	if a.More {
 		return nil // a long answer: all its parts were already sent
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/mangopost/mangopost/internal/memlimit"
 	"github.com/mangopost/mangopost/internal/wire/pb"
 	"github.com/mangopost/mangopost/template"
 )
@@ -41,7 +42,8 @@
 	service  *serviceTable
 	route    template.Route
 	deadline time.Time
-	optional bool // goes to another region although a target in this region could run it
+	held     *memlimit.Holder // of the request; may be nil
+	optional bool             // goes to another region although a target in this region could run it
 }
 
 // parse validates a caller's request against the table. The body is read by readBody,
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -11,6 +11,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/mangopost/mangopost/dedup"
+	"github.com/mangopost/mangopost/internal/memlimit"
 	"github.com/mangopost/mangopost/internal/platform"
 	"github.com/mangopost/mangopost/internal/record"
 	"github.com/mangopost/mangopost/internal/state"
@@ -37,6 +38,8 @@
 	log          *kernel.EventLog
 	logsRequests bool // the log level includes the lines of each request
 	metrics      *routerMetrics
+	memory       *memlimit.Limit
+	heldLog      memlimit.Refusals
 	cache        *state.Cache
 	table        atomic.Pointer[table]
 	dialer       *wire.Dialer
@@ -70,6 +73,7 @@
 		explain:      &explainer{host: cfg.Self.Host},
 	}
 	r.table.Store(compileTable(r.cache.View()))
+	r.memory = memlimit.New(memoryForClients(cfg), r.recordHeldRefusal)
 	r.metrics = newMetrics(r)
 	r.regions = newRegionLinks(r)
 	r.dialer.Meter = r.regions.count
@@ -183,7 +187,8 @@
 		ConnState:                    resetIdleConn,
 		ErrorLog:                     hclog.NewNullLogger().StandardLogger(nil),
 	}
-	return serveOn(ctx, server, newCallerListener(listener, r, l.MaxConnections), drainGrace)
+	bounded := memlimit.NewListener(newCallerListener(listener, r, l.MaxConnections), r.memory, r.connections().Clients)
+	return serveOn(ctx, server, bounded, drainGrace)
 }
 
 func (r *Router) serveOperators(ctx context.Context) error {
@@ -191,6 +196,12 @@
 		Addr:              r.cfg.Operators,
 		Handler:           r.operatorsMux(),
 		ReadHeaderTimeout: operatorsHeaderTimeout,
+		MaxHeaderBytes:    operatorsHeaderBytes,
+		ConnState:         memlimit.ConnState,
 	}
-	return serveHTTP(ctx, server, time.Second)
+	l, err := r.listen("tcp", server.Addr)
+	if err != nil {
+		return errors.Wrapf(err, "listen on %s", server.Addr)
+	}
+	return serveOn(ctx, server, memlimit.NewListener(l, r.memory, r.connections().Operators), time.Second)
 }
--- a/internal/router/sink.go
+++ b/internal/router/sink.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/mangopost/mangopost/internal/memlimit"
 	"github.com/mangopost/mangopost/internal/wire"
 	"github.com/mangopost/mangopost/internal/wire/pb"
 )
@@ -41,6 +42,8 @@
 // callerSink writes an answer to the caller.
 type callerSink struct {
 	w        http.ResponseWriter
+	held     *memlimit.Holder // of the request; may be nil
+	abort    func()           // closes the connection at once
 	started  bool
 	complete bool
 }
@@ -48,6 +51,8 @@
 func (s *callerSink) writeHead(a *pb.Answer) error {
 	s.started = true
 	s.complete = !a.More
+	s.held.Add(int64(len(a.Body)))
+	s.held.MayEnd(s.abort)
 	writeAnswerHead(s.w, a)
 	_, err := s.w.Write(a.Body)
 	return errors.Wrap(err, "write to caller")
@@ -56,6 +61,7 @@
 func (s *callerSink) writeChunk(data []byte, last bool) error {
 	s.complete = last
 	_, err := s.w.Write(data)
+	s.held.Progress()
 	return errors.Wrap(err, "write to caller")
 }
 
--- a/internal/router/targetanswer.go
+++ b/internal/router/targetanswer.go
@@ -43,7 +43,7 @@
 		Status:  uint32(response.StatusCode),
 		Headers: endToEndHeaders(response.Header),
 	}
-	body, err := readAll(io.LimitReader(response.Body, maxBufferedAnswerBytes+1), response.ContentLength)
+	body, err := w.router.readAnswer(ctx, response)
 	if err != nil {
 		return w.brokenAnswer(ctx, f)
 	}
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -203,6 +203,9 @@
 	if c.doc.IsValid("limits.dedup_bytes") && l.DedupBytes > l.MemoryBytes/2 {
 		c.doc.Add("limits.dedup_bytes", "", "%d is more than half of memory_bytes, %d", l.DedupBytes, l.MemoryBytes)
 	}
+	if l.MaxFiles != 0 {
+		checkRange(c, "limits.max_files", l.MaxFiles, MinMaxFiles, MaxMaxFiles)
+	}
 	checkRange(c, "limits.dedup_bytes", l.DedupBytes, MinDedupBytes, MaxMemoryBytes)
 }
 
--- a/internal/settings/defaults.go
+++ b/internal/settings/defaults.go
@@ -27,6 +27,8 @@
 	MinMemoryBytes       = 32 << 20
 	MaxMemoryBytes       = 1 << 40
 	MinDedupBytes        = 1 << 20
+	MinMaxFiles          = 256
+	MaxMaxFiles          = 1 << 24
 	MaxNameBytes         = 64
 	MaxFileBytes         = 1 << 20
 )
--- a/internal/settings/host.go
+++ b/internal/settings/host.go
@@ -77,10 +77,11 @@
 	Format string `toml:"format"` // json or text
 }
 
-// Limits bounds the memory of a process.
+// Limits bounds the memory and the descriptors of a process.
 type Limits struct {
 	MemoryBytes int64 `toml:"memory_bytes"`
 	DedupBytes  int64 `toml:"dedup_bytes"`
+	MaxFiles    int   `toml:"max_files"` // descriptors; 0: the process's resource limit
 }
 
 func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
