memlimit: connection set before its holder is shared, and rarer searches

Accept set the holder's connection after other goroutines could see the holder. Each waiting holder searched all others every 50 ms, and so did each new connection over the limit. A search now has at least 5 ms from the one before, so that a crowd of waiting clients costs little processor time.

--- a/internal/memlimit/limit.go
+++ b/internal/memlimit/limit.go
@@ -35,6 +35,9 @@
 	// grace is how long a holder may make no progress before it gives way to others. A
 	// client on a link of 30 ms sends its next part well within it.
 	grace = 200 * time.Millisecond
+	// scanInterval is the least time between two searches for the slowest holder when many
+	// wait: each looks at every holder.
+	scanInterval = 5 * time.Millisecond
 	// recheckInterval is how often a holder that waits for memory looks again for one
 	// that has to give way.
 	recheckInterval = 50 * time.Millisecond
@@ -62,6 +65,7 @@
 	answers    int64 // part of used
 	ending     int64 // part of used, of holders that have been told to end
 	holders    map[*Holder]struct{}
+	scannedAt  time.Time     // when makeRoom last searched for the slowest
 	freed      chan struct{} // closed when bytes are returned; nil if nobody waits
 }
 
@@ -228,6 +232,10 @@
 		return
 	}
 	now := time.Now()
+	if now.Sub(l.scannedAt) < scanInterval {
+		return // the caller looks again after recheckInterval at the latest
+	}
+	l.scannedAt = now
 	slowest := l.slowest(func(h *Holder) float64 { return float64(h.held+h.wanted) * now.Sub(h.progressAt).Seconds() })
 	if slowest != nil && now.Sub(slowest.progressAt) >= grace {
 		l.endHolder(slowest, ReasonMemory)
--- a/internal/memlimit/listener.go
+++ b/internal/memlimit/listener.go
@@ -64,6 +64,8 @@
 	limit *Limit
 	max   int
 	open  atomic.Int64
+
+	noneAt time.Time // when endSlowest last found no connection; protected by limit.mu
 }
 
 // NewListener returns a listener for at most max connections.
@@ -90,8 +92,7 @@
 		}
 		l.open.Add(1)
 		c := &Conn{Conn: conn, listener: l}
-		c.holder = l.limit.Request(c.abort)
-		c.holder.conn = c
+		c.holder = l.limit.add(&Holder{limit: l.limit, end: c.abort, conn: c})
 		return c, nil
 	}
 }
@@ -103,6 +104,9 @@
 	limit.mu.Lock()
 	defer limit.mu.Unlock()
 	now := time.Now()
+	if now.Sub(l.noneAt) < scanInterval {
+		return false
+	}
 	slowest := limit.slowest(func(h *Holder) float64 {
 		if h.conn == nil || h.conn.listener != l {
 			return 0
@@ -117,6 +121,7 @@
 		return since.Seconds()
 	})
 	if slowest == nil {
+		l.noneAt = now
 		return false
 	}
 	limit.endHolder(slowest, ReasonDescriptors)
