Counters of held refusals are made in advance; a gauge of open files

The Limit is locked when it counts a refusal, and creating a counter waits for the lock of the set of metrics, whose gauges ask the Limit.

go test -race ./internal/memlimit ./internal/router ./internal/entry, and ./docs: pass.

--- a/internal/entry/memory.go
+++ b/internal/entry/memory.go
@@ -13,7 +13,7 @@
 // recordHeldRefusal counts a client that had to give way, and logs at most one line a
 // second. The limit calls it while it is locked.
 func (n *Node) recordHeldRefusal(reason string) {
-	n.counters.countHeldRefusal(reason)
+	n.counters.heldRefusals[reason].Inc()
 	if fields := n.heldLog.Add(time.Now(), reason); fields != nil {
 		n.log.Emit(evHeld, fields...)
 	}
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -7,20 +7,24 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/mangopost/mangopost/admission/pool"
+	"github.com/mangopost/mangopost/internal/memlimit"
 )
 
 // counters are the metrics of an entry process; docs/METRICS.md lists them.
 type counters struct {
-	set *metrics.Set
+	set          *metrics.Set
+	heldRefusals map[string]*metrics.Counter // by reason; not changed
 }
 
 func newCounters(n *Node) *counters {
 	c := &counters{set: metrics.NewSet()}
+	c.heldRefusals = newHeldRefusals(c.set)
 	gauge := func(name string, f func() float64) { c.set.NewGauge(name, f) }
 	gauge("mangopost_entry_ready", func() float64 { return boolToFloat(n.isReady()) })
 	gauge("mangopost_entry_coordinator", func() float64 { return boolToFloat(n.candidate.holdsLease()) })
 	gauge("mangopost_entry_requests_in_flight", func() float64 { return float64(n.inFlight.Load()) })
 	gauge("mangopost_entry_held_bytes", func() float64 { return float64(n.memory.Used()) })
+	gauge("mangopost_entry_open_files", func() float64 { return float64(memlimit.OpenFiles()) })
 	gauge("mangopost_entry_held_bytes_max", func() float64 { return float64(n.memory.Total()) })
 	gauge("mangopost_entry_configuration_version", func() float64 {
 		if t := n.table.Load(); t != nil {
@@ -87,8 +91,14 @@
 	c.set.GetOrCreateCounter(fmt.Sprintf(`mangopost_entry_moves_total{reason=%q}`, reason)).Inc()
 }
 
-func (c *counters) countHeldRefusal(reason string) {
-	c.set.GetOrCreateCounter(fmt.Sprintf(`mangopost_entry_held_refusals_total{reason=%q}`, reason)).Inc()
+// newHeldRefusals creates the counters in advance: the Limit, which is locked when it
+// counts, must not wait for the lock of the set.
+func newHeldRefusals(set *metrics.Set) map[string]*metrics.Counter {
+	out := make(map[string]*metrics.Counter)
+	for _, reason := range memlimit.Reasons {
+		out[reason] = set.NewCounter(fmt.Sprintf(`mangopost_entry_held_refusals_total{reason=%q}`, reason))
+	}
+	return out
 }
 
 // gaugeConnections reports the number of callers' connections.
--- a/internal/memlimit/limit.go
+++ b/internal/memlimit/limit.go
@@ -50,6 +50,9 @@
 	ReasonConnections = "connections" // it is a new connection, and no other gives way
 )
 
+// Reasons lists all of them.
+var Reasons = []string{ReasonMemory, ReasonDescriptors, ReasonConnections}
+
 // ErrRefused reports that there is no memory for the holder: it gives way to others.
 var ErrRefused = errors.New("too many bytes are held for clients")
 
--- a/internal/memlimit/listener.go
+++ b/internal/memlimit/listener.go
@@ -6,6 +6,7 @@
 	"math"
 	"net"
 	"net/http"
+	"os"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -271,6 +272,16 @@
 	h.isIdle, h.hasServed, h.end, h.progressAt = true, true, end, time.Now()
 }
 
+// OpenFiles returns the number of descriptors that the process has open, or 0 if the
+// system does not tell.
+func OpenFiles() int {
+	entries, err := os.ReadDir("/proc/self/fd")
+	if err != nil {
+		return 0
+	}
+	return len(entries) - 1 // without that of the directory itself
+}
+
 // Files returns the number of descriptors that the process may open: the given one, or
 // that of its resource limit if that is lower or none is given.
 func Files(configured int) int {
--- a/internal/memlimit/refusals.go
+++ b/internal/memlimit/refusals.go
@@ -29,7 +29,7 @@
 	if now.Sub(r.lastAt) < logInterval {
 		return nil
 	}
-	for _, known := range []string{ReasonMemory, ReasonDescriptors, ReasonConnections} {
+	for _, known := range Reasons {
 		fields = append(fields, known, r.counts[known])
 	}
 	r.counts, r.lastAt = nil, now
--- a/internal/router/memory.go
+++ b/internal/router/memory.go
@@ -41,7 +41,7 @@
 // recordHeldRefusal counts a client that had to give way, and logs at most one line a
 // second. The limit calls it while it is locked.
 func (r *Router) recordHeldRefusal(cause string) {
-	r.metrics.recordHeldRefusal(cause)
+	r.metrics.heldRefusals[cause].Inc()
 	if fields := r.heldLog.Add(time.Now(), cause); fields != nil {
 		r.log.Emit(evHeld, fields...)
 	}
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -8,6 +8,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/mangopost/mangopost/internal/memlimit"
 	"github.com/mangopost/mangopost/internal/wire/pb"
 )
 
@@ -19,6 +20,7 @@
 	suspectsDropped  *metrics.Counter
 	grantsStandalone *metrics.Counter
 	grantsCarried    *metrics.Counter
+	heldRefusals     map[string]*metrics.Counter // by reason; not changed
 }
 
 func newMetrics(r *Router) *routerMetrics {
@@ -31,14 +33,15 @@
 	m.set.NewGauge("mangopost_config_version", func() float64 { return float64(r.table.Load().configVersion) })
 	m.set.NewGauge("mangopost_held_bytes", func() float64 { return float64(r.memory.Used()) })
 	m.set.NewGauge("mangopost_held_bytes_max", func() float64 { return float64(r.memory.Total()) })
+	// Created in advance: the Limit, which is locked when it counts, must not wait for the
+	// lock of the set.
+	m.heldRefusals = make(map[string]*metrics.Counter)
+	for _, cause := range memlimit.Reasons {
+		m.heldRefusals[cause] = m.set.NewCounter(fmt.Sprintf(`mangopost_held_refusals_total{reason=%q}`, cause))
+	}
 	return m
 }
 
-// recordHeldRefusal counts a client that had to give way.
-func (m *routerMetrics) recordHeldRefusal(reason string) {
-	m.set.GetOrCreateCounter(fmt.Sprintf(`mangopost_held_refusals_total{reason=%q}`, reason)).Inc()
-}
-
 // serviceMetrics holds the metrics of one service's requests.
 type serviceMetrics struct {
 	requestsTotal  map[pb.Outcome]*metrics.Counter
