Tests: a body without room is not run, a cut answer does not look whole

The nodes of the tests of internal/entry now serve through the same listener as the program, so that all of them run with the bounds.

GOMAXPROCS=1 go test -race -count=3 -run 'TestBodyWithoutRoom|TestCutAnswer' ./internal/entry: pass. GOMAXPROCS=2 go test -race ./internal/entry: pass (60.8 s).

--- a/internal/entry/serving_test.go
+++ b/internal/entry/serving_test.go
@@ -15,6 +15,7 @@
 	"github.com/hashicorp/go-hclog"
 	"gotest.tools/v3/assert"
 
+	"github.com/mangopost/mangopost/internal/memlimit"
 	"github.com/mangopost/mangopost/platform/standin"
 
 	"github.com/mangopost/mangopost/membership/directory"
@@ -112,8 +113,8 @@
 	n.updateTargets()
 	n.mu.Unlock()
 	server := httptest.NewUnstartedServer(n)
-	server.Listener = &callerListener{Listener: server.Listener}
-	server.Config.ConnContext = connContext
+	server.Listener = memlimit.NewListener(&callerListener{Listener: server.Listener}, n.memory, n.connections().Clients)
+	server.Config.ConnContext, server.Config.ConnState = connContext, memlimit.ConnState
 	server.Start()
 	t.Cleanup(server.Close)
 	return n, server.URL
