--- a/internal/entry/events.go
+++ b/internal/entry/events.go
@@ -36,6 +36,8 @@
 
 	evLoadReports = kernel.RegisterEvent(6024, hclog.Warn, "load reports of a target begin or cease to count")
 
+	evHeld = kernel.RegisterEvent(6026, hclog.Warn, "clients had to give way: the process holds as much as it may")
+
 	evEra      = kernel.RegisterEvent(6030, hclog.Warn, "the store came back from an older copy")
 	evRefenced = kernel.RegisterEvent(6031, hclog.Warn, "owner map of an earlier era of the store put under new fences")
 
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -16,6 +16,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/mangopost/mangopost/admission/pool"
+	"github.com/mangopost/mangopost/internal/memlimit"
 	"github.com/mangopost/mangopost/kernel"
 	"github.com/mangopost/mangopost/lease/era"
 	"github.com/mangopost/mangopost/membership/directory"
@@ -55,7 +56,8 @@
 	log           *kernel.EventLog
 	store         *platform.Store
 	conns         *connPool
-	answerMemory  *answerMemory
+	memory        *memlimit.Limit
+	heldLog       memlimit.Refusals
 	counters      *counters
 	answerSampler sampler
 
@@ -106,12 +108,11 @@
 		aggregation: newAggregation(),
 		reportNow:   make(chan struct{}, 1),
 
-		answerMemory: newAnswerMemory(s.Memory),
-		quarantine:   newQuarantine(),
-		services:     make(map[string]*service),
-		splitter:     routing.NewSplitter(),
-		owners:       make(map[string]owners),
-		history:      make(ownersHistory),
+		quarantine: newQuarantine(),
+		services:   make(map[string]*service),
+		splitter:   routing.NewSplitter(),
+		owners:     make(map[string]owners),
+		history:    make(ownersHistory),
 		directory: directory.New(directory.Timing{
 			OutageAfter:  2 * s.Heartbeat,
 			ReturnPeriod: storeReturn,
@@ -119,6 +120,7 @@
 		evacuations: evacuation.New(evacuationSettleBeats * s.Heartbeat),
 		hasPlaces:   s.HasContract(platform.ContractPlaces),
 	}
+	n.memory = memlimit.New(s.Memory, n.recordHeldRefusal)
 	n.settings.Store(s)
 	n.hostCount.Store(assumedHosts)
 	n.mayUseHint.Store(true)
