Requests whose goal has passed give way while others lack room

Callers that were refused return after their latency goal has passed.

A host now tells repeats by the deadline that callers count down (admission/repeat) and lets them wait behind others, or refuses them while others are refused (admission/pool, repeats.go). Safety is unchanged: only whether and when a request is started is decided, and a refusal is made before anything is sent.

Ruled out by trials, in docs/design/024: rates limited by reported queues, and a usual deadline for each route.

--- a/admission/pool/owners.go
+++ b/admission/pool/owners.go
@@ -56,7 +56,7 @@
 		return Action{}, false
 	}
 	t := p.targets[keyRange.Owner.Target]
-	if t == nil || !r.mayUse(t) || t.admitNext(p.cfg.AdmitPhase) {
+	if t == nil || !r.mayUse(t) || t.admitNext(p.cfg.AdmitPhase, p.admitCost(r)) {
 		return Action{}, false
 	}
 	t.refusedFull++
--- a/admission/pool/pool.go
+++ b/admission/pool/pool.go
@@ -75,6 +75,7 @@
 	notHeldUntil   map[uint64]time.Duration // by fence of keys that their owner did not hold: no request is sent before this time
 	ownerlessSince map[int]time.Duration    // by first key of a range: when it was first found without an owner
 	cold           coldTargets
+	refusedInTime  map[string]time.Duration // by allowed regions: when a request was last refused whose goal could have been met
 
 	emptySince      map[string]time.Duration  // by region: when it was first found without a target that accepts work
 	regionSchedules map[string]*retrySchedule // of an unkeyed service, by allowed regions
@@ -87,7 +88,8 @@
 		completedMoves: make(map[keyrange.ID]bool), notHeldUntil: make(map[uint64]time.Duration),
 		ownerlessSince: make(map[int]time.Duration), pauses: make(map[string]pause), urgency: newUrgency(cfg),
 		emptySince: make(map[string]time.Duration), regionSchedules: make(map[string]*retrySchedule),
-		cold: coldTargets{runs: make(map[coldRun]*coldRunState)},
+		refusedInTime: make(map[string]time.Duration),
+		cold:          coldTargets{runs: make(map[coldRun]*coldRunState)},
 	}
 	p.serviceTime.reset(cfg.InitialServiceTime)
 	return p
@@ -215,6 +217,9 @@
 	if a, refused := p.refuseThinned(now, r); refused {
 		return []Action{a}
 	}
+	if a, refused := p.refuseRepeat(now, r); refused {
+		return []Action{a}
+	}
 	if now >= r.NotBefore {
 		if t, fence, ok := p.pickTarget(now, r, p.reservedFor(r)); ok {
 			return []Action{p.start(now, t, fence, r)}
@@ -237,7 +242,7 @@
 }
 
 func compareRequests(a, b Request) int {
-	return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.Arrived, b.Arrived), cmp.Compare(a.ID, b.ID))
+	return cmp.Or(cmp.Compare(a.Priority, b.Priority), compareGoals(a, b), cmp.Compare(a.Arrived, b.Arrived), cmp.Compare(a.ID, b.ID))
 }
 
 // reservedFor returns the regions whose targets are left to waiting requests that must
@@ -344,6 +349,9 @@
 	case len(r.TriedTargets) == 0:
 		full.add(r)
 	}
+	if a, refused := p.refuseOvertaken(now, r); refused {
+		return a, true
+	}
 	if a, refused := p.refuseHopeless(now, r); refused {
 		return a, true
 	}
--- a/admission/pool/refusal.go
+++ b/admission/pool/refusal.go
@@ -5,6 +5,7 @@
 )
 
 func (p *Pool) refuse(now time.Duration, r Request, reason Reason, wait time.Duration) Action {
+	p.recordRefusal(now, r, reason)
 	return Action{ID: r.ID, Reason: reason, RetryAfter: max(wait, minRetryAfter), Waited: now - r.Arrived}
 }
 
--- a/admission/pool/target.go
+++ b/admission/pool/target.go
@@ -121,17 +121,19 @@
 
 // admitNext reports whether one more request for the target's keys may be sent.
 // If the target receives more than it can serve, requests are admitted at
-// regular intervals so that admitFraction of them is sent.
-func (t *target) admitNext(phase float64) bool {
+// regular intervals so that admitFraction of them is sent. needed is the credit that this
+// request needs; all use up the same.
+func (t *target) admitNext(phase, needed float64) bool {
 	if t.admitFraction <= 0 || t.admitFraction >= 1 {
 		t.admitCredit = phase
 		return true
 	}
 	t.admitCredit += t.admitFraction
-	if t.admitCredit < 1 {
+	t.admitCredit = min(t.admitCredit, pastGoalAdmitCost)
+	if t.admitCredit < needed {
 		return false
 	}
-	t.admitCredit--
+	t.admitCredit = max(t.admitCredit-usualAdmitCost, -maxAdmitDebt)
 	return true
 }
 
--- a/admission/pool/types.go
+++ b/admission/pool/types.go
@@ -43,7 +43,7 @@
 	Route        string   // name of the route, whose requests are alike
 	Regions      []string // regions whose targets may run the request; empty: all
 	Arrived      time.Duration
-	Goal         time.Duration // time by which the answer has its full value
+	Goal         time.Duration // time by which the answer has its full value; before Arrived if the caller sends the request again
 	Deadline     time.Duration // time from which an answer is of no use
 	TriedTargets []string      // targets that the request was already sent to
 	NotBefore    time.Duration // earliest time at which the request may be sent
@@ -76,6 +76,9 @@
 	// Reserved means that the request would wait too long for a useful answer
 	// because capacity is reserved for more urgent requests.
 	Reserved Reason = "reserved"
+	// PastGoal means that the request's goal has passed, as its caller sends it again,
+	// while others whose goal can be met lack room.
+	PastGoal Reason = "past-goal"
 	// Displaced means that a more urgent request took the place of this one.
 	Displaced Reason = "displaced"
 )
--- a/docs/layers_test.go
+++ b/docs/layers_test.go
@@ -19,7 +19,7 @@
 	"lease", "ownership", "membership", "placement", "admission", "dedup",
 	"routing", "template", "maintenance", "finding", "finding/tomldoc",
 	"lease/coordinator", "ownership/keyrange", "ownership/grants", "placement/hotrange", "placement/demand",
-	"admission/pool", "admission/coldstart", "admission/loadreport",
+	"admission/pool", "admission/coldstart", "admission/loadreport", "admission/repeat",
 	"membership/directory", "membership/mirror", "membership/aggregators", "membership/evacuation", "lease/era",
 }
 
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -50,6 +50,7 @@
 	memory          *memlimit.Holder // of the request; may be nil
 	number          uint64
 	arrived         time.Duration
+	elapsed         time.Duration // since the caller sent the request first, if it sends it again
 	deadline        time.Duration // when an answer stops being of use
 	triedTargets    []string
 	notOwnerAnswers int // answers of targets that do not hold the key
@@ -103,6 +104,9 @@
 		wait = min(wait, c.Deadline-answerMargin)
 	}
 	c.deadline = c.arrived + wait
+	if c.node.reservesUrgent() {
+		c.elapsed = c.node.repeats.observe(c.route.Name, c.Deadline)
+	}
 	return true
 }
 
@@ -151,8 +155,11 @@
 		}
 		c.node.counters.countCold(c.service.name, a)
 		if !a.Start {
-			if a.Reason == pool.Reserved {
+			switch a.Reason {
+			case pool.Reserved:
 				c.node.counters.countReserved(c.service.name)
+			case pool.PastGoal:
+				c.node.counters.countPastGoal(c.service.name)
 			}
 			c.refuse(string(a.Reason), a.RetryAfter)
 			return
@@ -185,7 +192,7 @@
 func (c *call) poolRequest(notBefore time.Duration) pool.Request {
 	return pool.Request{
 		ID: c.number, Key: c.Key, Priority: c.route.Priority, Route: c.route.Name, Arrived: c.arrived,
-		Goal: c.arrived + c.route.LatencyGoal, Deadline: c.deadline, TriedTargets: c.triedTargets, NotBefore: notBefore,
+		Goal: c.arrived + c.route.LatencyGoal - c.elapsed, Deadline: c.deadline, TriedTargets: c.triedTargets, NotBefore: notBefore,
 		Regions: c.route.Regions,
 	}
 }
@@ -355,6 +362,9 @@
 // refuse tells the caller that the request was not run and when to retry.
 func (c *call) refuse(reason string, retryAfter time.Duration) {
 	c.node.logRefused(c, reason, retryAfter)
+	if c.route != nil {
+		c.node.repeats.recordRefusal(c.route.Name)
+	}
 	platform.SetRetryAfter(c.w.Header(), retryAfter)
 	c.fail(http.StatusServiceUnavailable, "", nil)
 }
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -100,6 +100,10 @@
 	c.set.GetOrCreateCounter(fmt.Sprintf(`mangopost_entry_load_reports_total{service=%q}`, service)).Inc()
 }
 
+func (c *counters) countPastGoal(service string) {
+	c.set.GetOrCreateCounter(fmt.Sprintf(`mangopost_entry_refused_past_goal_total{service=%q}`, service)).Inc()
+}
+
 func (c *counters) countQuarantined() {
 	c.set.GetOrCreateCounter(`mangopost_entry_requests_quarantined_total`).Inc()
 }
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -75,6 +75,7 @@
 	lastStoreAnswer atomic.Int64  // time of the store's last answer, on steadyClock
 
 	quarantine *quarantine
+	repeats    *repeats
 	gate       storeGate
 	badObjects badObjects
 
@@ -109,6 +110,7 @@
 		reportNow:   make(chan struct{}, 1),
 
 		quarantine: newQuarantine(),
+		repeats:    newRepeats(),
 		services:   make(map[string]*service),
 		splitter:   routing.NewSplitter(),
 		owners:     make(map[string]owners),
@@ -270,6 +272,7 @@
 	for name, s := range t.Services {
 		n.setColdLimits(n.services[name], s)
 	}
+	n.repeats.keepOnly(t.RouteNames())
 	n.table.Store(t)
 	n.log.Emit(evConfiguration, "configuration", platform.FormatVersion(t.Version), "services", len(t.Services))
 	n.updateTargets()
--- a/routing/table.go
+++ b/routing/table.go
@@ -72,6 +72,17 @@
 	return t
 }
 
+// RouteNames returns the names of all routes.
+func (t *Table) RouteNames() map[string]bool {
+	names := make(map[string]bool)
+	for _, routes := range t.byHost {
+		for i := range routes {
+			names[routes[i].Name] = true
+		}
+	}
+	return names
+}
+
 // Match returns the route of the host with the longest prefix that matches the
 // path, or nil.
 func (t *Table) Match(host, path string) *Route {
