--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -2,20 +2,17 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"net/textproto"
-	"os"
 	"slices"
 	"strconv"
 	"strings"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/mangopost/mangopost/admission/loadreport"
 	"github.com/mangopost/mangopost/admission/pool"
+	"github.com/mangopost/mangopost/internal/memlimit"
 	"github.com/mangopost/mangopost/kernel"
 	"github.com/mangopost/mangopost/membership/directory"
 	"github.com/mangopost/mangopost/platform"
@@ -50,8 +47,10 @@
 	route           *routing.Route
 	service         *service
 	outbound        *outboundRequest
+	memory          *memlimit.Holder // of the request; may be nil
 	number          uint64
 	arrived         time.Duration
+	elapsed         time.Duration // since the caller sent the request first, if it sends it again
 	deadline        time.Duration // when an answer stops being of use
 	triedTargets    []string
 	notOwnerAnswers int // answers of targets that do not hold the key
@@ -65,7 +64,10 @@
 	if n.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	c.memory = memlimit.BeginRequest(r)
+	defer func() { c.memory.MayEnd(memlimit.AbortConn(r)) }()
 	if !c.findRoute() || !c.applyStop() || !c.readBody() {
+		c.limitUnreadBody()
 		return
 	}
 	if c.isQuarantined() {
@@ -102,6 +104,9 @@
 		wait = min(wait, c.Deadline-answerMargin)
 	}
 	c.deadline = c.arrived + wait
+	if c.node.reservesUrgent() {
+		c.elapsed = c.node.repeats.observe(c.route.Name, c.Deadline)
+	}
 	return true
 }
 
@@ -117,46 +122,6 @@
 	return host
 }
 
-// readBody reads the whole body. If it reports false, the caller has been
-// answered.
-func (c *call) readBody() bool {
-	limit := c.table.Limits.BodyBytes
-	if limit <= 0 {
-		limit = defaultMaxBodyBytes
-	}
-	body, err := c.readAllWithin(limit)
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		c.w.Header().Set("Connection", "close")
-		c.fail(http.StatusRequestTimeout, "body-too-slow", err)
-		return false
-	case errors.As(err, &tooLarge):
-		c.fail(http.StatusRequestEntityTooLarge, "body-too-large", err)
-		return false
-	case err != nil:
-		c.fail(http.StatusBadRequest, "body-broken-off", err)
-		return false
-	}
-	c.outbound = &outboundRequest{
-		method: c.r.Method, uri: c.r.RequestURI, host: c.r.Host, header: endToEndHeaders(c.r.Header),
-		body: body, id: c.ID, unsafe: !c.route.Idempotent,
-	}
-	return true
-}
-
-// readAllWithin reads the body until the request's deadline.
-func (c *call) readAllWithin(limit int64) ([]byte, error) {
-	if c.r.Body == http.NoBody {
-		return nil, nil
-	}
-	control := http.NewResponseController(c.w)
-	// Only the writers of tests do not support deadlines.
-	_ = control.SetReadDeadline(time.Now().Add(c.deadline - steadyClock()))
-	defer control.SetReadDeadline(time.Time{})
-	return io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, limit))
-}
-
 // hopByHopHeaders are the headers that concern a single connection.
 var hopByHopHeaders = []string{
 	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
@@ -190,8 +155,11 @@
 		}
 		c.node.counters.countCold(c.service.name, a)
 		if !a.Start {
-			if a.Reason == pool.Reserved {
+			switch a.Reason {
+			case pool.Reserved:
 				c.node.counters.countReserved(c.service.name)
+			case pool.PastGoal:
+				c.node.counters.countPastGoal(c.service.name)
 			}
 			c.refuse(string(a.Reason), a.RetryAfter)
 			return
@@ -224,7 +192,7 @@
 func (c *call) poolRequest(notBefore time.Duration) pool.Request {
 	return pool.Request{
 		ID: c.number, Key: c.Key, Priority: c.route.Priority, Route: c.route.Name, Arrived: c.arrived,
-		Goal: c.arrived + c.route.LatencyGoal, Deadline: c.deadline, TriedTargets: c.triedTargets, NotBefore: notBefore,
+		Goal: c.arrived + c.route.LatencyGoal - c.elapsed, Deadline: c.deadline, TriedTargets: c.triedTargets, NotBefore: notBefore,
 		Regions: c.route.Regions,
 	}
 }
@@ -292,6 +260,7 @@
 }
 
 func (c *call) deliver(a *answer) {
+	c.beginDelivery(a)
 	h := c.w.Header()
 	for name, values := range endToEndHeaders(a.header) {
 		h[name] = values
@@ -306,6 +275,7 @@
 			c.logLeft("answered")
 			return
 		}
+		a.memory.Progress()
 	}
 }
 
@@ -393,6 +363,9 @@
 // refuse tells the caller that the request was not run and when to retry.
 func (c *call) refuse(reason string, retryAfter time.Duration) {
 	c.node.logRefused(c, reason, retryAfter)
+	if c.route != nil {
+		c.node.repeats.recordRefusal(c.route.Name)
+	}
 	platform.SetRetryAfter(c.w.Header(), retryAfter)
 	c.fail(http.StatusServiceUnavailable, "", nil)
 }
--- a/internal/entry/node.go
+++ b/internal/entry/node.go
@@ -16,6 +16,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/mangopost/mangopost/admission/pool"
+	"github.com/mangopost/mangopost/internal/memlimit"
 	"github.com/mangopost/mangopost/kernel"
 	"github.com/mangopost/mangopost/lease/era"
 	"github.com/mangopost/mangopost/membership/directory"
@@ -56,7 +57,8 @@
 	log           *kernel.EventLog
 	store         *platform.Store
 	conns         *connPool
-	answerMemory  *answerMemory
+	memory        *memlimit.Limit
+	heldLog       memlimit.Refusals
 	counters      *counters
 	answerSampler sampler
 
@@ -76,6 +78,7 @@
 	lastStoreAnswer atomic.Int64  // time of the store's last answer, on steadyClock
 
 	quarantine *quarantine
+	repeats    *repeats
 	gate       storeGate
 	badObjects badObjects
 
@@ -109,12 +112,12 @@
 		aggregation: newAggregation(),
 		reportNow:   make(chan struct{}, 1),
 
-		answerMemory: newAnswerMemory(s.Memory),
-		quarantine:   newQuarantine(),
-		services:     make(map[string]*service),
-		splitter:     routing.NewSplitter(),
-		owners:       make(map[string]owners),
-		history:      make(ownersHistory),
+		quarantine: newQuarantine(),
+		repeats:    newRepeats(),
+		services:   make(map[string]*service),
+		splitter:   routing.NewSplitter(),
+		owners:     make(map[string]owners),
+		history:    make(ownersHistory),
 		directory: directory.New(directory.Timing{
 			OutageAfter:  2 * s.Heartbeat,
 			ReturnPeriod: storeReturn,
@@ -122,6 +125,7 @@
 		evacuations: evacuation.New(evacuationSettleBeats * s.Heartbeat),
 		hasPlaces:   s.HasContract(platform.ContractPlaces),
 	}
+	n.memory = memlimit.New(s.Memory, n.recordHeldRefusal)
 	n.settings.Store(s)
 	n.hostCount.Store(assumedHosts)
 	n.mayUseHint.Store(true)
@@ -272,6 +276,7 @@
 	for name, s := range t.Services {
 		n.setColdLimits(n.services[name], s)
 	}
+	n.repeats.keepOnly(t.RouteNames())
 	n.table.Store(t)
 	n.log.Emit(evConfiguration, "configuration", platform.FormatVersion(t.Version), "services", len(t.Services))
 	n.updateTargets()
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -8,6 +8,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/mangopost/mangopost/internal/memlimit"
 	"github.com/mangopost/mangopost/internal/wire/pb"
 )
 
@@ -19,6 +20,7 @@
 	suspectsDropped  *metrics.Counter
 	grantsStandalone *metrics.Counter
 	grantsCarried    *metrics.Counter
+	heldRefusals     map[string]*metrics.Counter // by reason; not changed
 }
 
 func newMetrics(r *Router) *routerMetrics {
@@ -29,6 +31,14 @@
 	m.grantsCarried = m.set.NewCounter(`mangopost_grants_total{sent="with_request"}`)
 	m.set.NewGauge("mangopost_log_events_dropped_total", func() float64 { return float64(r.log.Dropped()) })
 	m.set.NewGauge("mangopost_config_version", func() float64 { return float64(r.table.Load().configVersion) })
+	m.set.NewGauge("mangopost_held_bytes", func() float64 { return float64(r.memory.Used()) })
+	m.set.NewGauge("mangopost_held_bytes_max", func() float64 { return float64(r.memory.Total()) })
+	// Created in advance: the Limit, which is locked when it counts, must not wait for the
+	// lock of the set.
+	m.heldRefusals = make(map[string]*metrics.Counter)
+	for _, cause := range memlimit.Reasons {
+		m.heldRefusals[cause] = m.set.NewCounter(fmt.Sprintf(`mangopost_held_refusals_total{reason=%q}`, cause))
+	}
 	return m
 }
 
