--- a/admission/pool/simulation_test.go
+++ b/admission/pool/simulation_test.go
@@ -37,6 +37,7 @@
 	keyed          bool // every target owns the same number of keys, which are equally frequent
 	routes         []simRoute
 	configure      func(*pool.Config)
+	pickHost       func(r *rand.Rand) int                                 // of an arriving request; nil: each with the same probability
 	say            func(target int, load loadreport.Load) loadreport.Load // what a target says of its load; nil: nothing
 	reportAge      time.Duration                                          // how long before the answer it was so
 
@@ -61,6 +62,7 @@
 	simReportDelay  = 250 * ms // through the aggregator and the coordinator
 	simWarmUp       = 3 * time.Second
 	simMaxTries     = 3
+	simBytes        = 3000 // of a request and its answer
 )
 
 var simSpeeds = [...]float64{0.6, 1, 1.4}
@@ -85,6 +87,8 @@
 	arrived, inTime, late, refused int
 	refusedAfter                   []time.Duration // Retry-After of the refusals
 	took                           time.Duration
+	sent                           [3]int    // by distance of the target
+	sentAll, sentFar               []float64 // by second
 }
 
 func (r *simResult) goodShare() float64 { return float64(r.inTime) / float64(max(1, r.arrived)) }
@@ -216,10 +220,7 @@
 		return
 	}
 	s.lastID++
-	h := s.rand.IntN(s.hosts)
-	if r.everyNthHost > 0 {
-		h -= h % r.everyNthHost
-	}
+	h := s.arrivalHost(r)
 	req := &simRequest{route: r, host: h, Request: pool.Request{
 		ID: s.lastID, Priority: r.priority, Route: r.name, Arrived: s.now, Goal: s.now + r.goal, Deadline: s.now + r.deadline,
 	}}
@@ -232,6 +233,17 @@
 	s.submit(req)
 }
 
+func (s *simulation) arrivalHost(r *simRoute) int {
+	if s.pickHost != nil {
+		return s.pickHost(s.rand)
+	}
+	h := s.rand.IntN(s.hosts)
+	if r.everyNthHost > 0 {
+		h -= h % r.everyNthHost
+	}
+	return h
+}
+
 func (s *simulation) submit(req *simRequest) {
 	s.waiting[req.host][req.ID] = req
 	s.apply(req.host, s.pools[req.host].Arrive(s.now, req.Request))
@@ -244,6 +256,7 @@
 		if a.Start {
 			t := s.byName[a.Target.Target]
 			sent := s.now
+			s.countSent(req, a.Distance)
 			s.after(oneWay(h, t.index), func() { s.reach(t, req, a, sent) })
 		} else if req.Arrived > simWarmUp {
 			s.results[req.route.name].refused++
@@ -252,6 +265,20 @@
 	}
 }
 
+func (s *simulation) countSent(req *simRequest, d pool.Distance) {
+	if req.Arrived > simWarmUp {
+		r, second := s.results[req.route.name], int(s.now/time.Second)
+		r.sent[d]++
+		for len(r.sentAll) <= second {
+			r.sentAll, r.sentFar = append(r.sentAll, 0), append(r.sentFar, 0)
+		}
+		r.sentAll[second]++
+		if d == pool.Far {
+			r.sentFar[second]++
+		}
+	}
+}
+
 // reach handles a request that arrives at a target.
 func (s *simulation) reach(t *simTarget, req *simRequest, a pool.Action, sent time.Duration) {
 	run := func() {
@@ -315,6 +342,7 @@
 // finish handles an answer that arrives at the host.
 func (s *simulation) finish(req *simRequest, a pool.Action, sent time.Duration, result pool.Result, load loadreport.Load) {
 	p := s.pools[req.host]
+	p.RecordCrossing(s.now, a, s.now-sent, simBytes, result)
 	p.RecordWork(a, s.now-sent, result)
 	p.Finish(s.now, a.Target, s.now-sent, result)
 	if s.reportAge == 0 {
--- a/admission/pool/types.go
+++ b/admission/pool/types.go
@@ -47,6 +47,8 @@
 	Deadline     time.Duration // time from which an answer is of no use
 	TriedTargets []string      // targets that the request was already sent to
 	NotBefore    time.Duration // earliest time at which the request may be sent
+
+	wantsAway uint8 // places for which the request was counted as one that should leave, as bits
 }
 
 // Reason is the reason why a request was refused.
@@ -94,6 +96,9 @@
 	Reason     Reason        // of a refusal
 	RetryAfter time.Duration // of a refusal: when there will be room
 	Route      string        // with Start: route of the request
+
+	Distance    Distance    // with Start: of the target
+	CrossReason CrossReason // with Start: why the target is at that distance
 }
 
 // Result describes how a request at a target ended.
--- a/internal/entry/events.go
+++ b/internal/entry/events.go
@@ -41,6 +41,9 @@
 	evEra      = kernel.RegisterEvent(6030, hclog.Warn, "the store came back from an older copy")
 	evRefenced = kernel.RegisterEvent(6031, hclog.Warn, "owner map of an earlier era of the store put under new fences")
 
+	evLeavingBegins = kernel.RegisterEvent(6034, hclog.Info, "requests of a route begin to leave the data centre")
+	evLeavingEnds   = kernel.RegisterEvent(6035, hclog.Info, "requests of a route leave the data centre no more")
+
 	evAnswered = kernel.RegisterEvent(6100, hclog.Info, "request answered by a target")
 	evRefused  = kernel.RegisterEvent(6101, hclog.Info, "request refused: not run")
 	evUnknown  = kernel.RegisterEvent(6102, hclog.Warn, "request ended without an answer: it may have run")
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -208,6 +208,7 @@
 		c.outbound.connectWithin = coldConnectTime
 	}
 	t := c.node.exchange(sendCtx, c.outbound, a.Target, c.deadline-steadyClock())
+	c.recordCrossing(a, t)
 	trust := c.service.finish(a, t)
 	c.recordLoad(a, t, trust)
 	c.node.counters.countTry(t.result)
