A request that may have run is not refused as not run

An idempotent request whose first attempt got an answer of 500 or above, or none, waits for another target. When the pool then refused it, or the next target shed it, the caller got 503 with Retry-After, which promises that it has not run.

--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -53,7 +53,8 @@
 	elapsed         time.Duration // since the caller sent the request first, if it sends it again
 	deadline        time.Duration // when an answer stops being of use
 	triedTargets    []string
-	notOwnerAnswers int // answers of targets that do not hold the key
+	notOwnerAnswers int  // answers of targets that do not hold the key
+	mayHaveRun      bool // at a target that failed it: no refusal may say that it has not run
 }
 
 // ServeHTTP handles a caller's request.
@@ -161,7 +162,7 @@
 			case pool.PastGoal:
 				c.node.counters.countPastGoal(c.service.name)
 			}
-			c.refuse(string(a.Reason), a.RetryAfter)
+			c.refuseUnlessRun(string(a.Reason), a.RetryAfter)
 			return
 		}
 		var done bool
@@ -330,6 +331,9 @@
 // one.
 func (c *call) scheduleRetry(a pool.Action, t attempt) time.Duration {
 	c.node.logRetried(c, a, t)
+	if routing.Classify(t.reply) != routing.OutcomeNotRun {
+		c.mayHaveRun = true
+	}
 	if t.result == pool.NotOwner {
 		c.notOwnerAnswers++
 		return steadyClock() + time.Duration(c.notOwnerAnswers)*notOwnerBackoff
@@ -346,7 +350,7 @@
 		return
 	}
 	if routing.Classify(t.reply) == routing.OutcomeNotRun {
-		c.refuse(t.result.String()+", "+reason.String(), max(shedRetryAfter, c.service.pausedFor(c.Key, c.route.Regions)))
+		c.refuseUnlessRun(t.result.String()+", "+reason.String(), max(shedRetryAfter, c.service.pausedFor(c.Key, c.route.Regions)))
 		return
 	}
 	status := http.StatusBadGateway
@@ -360,6 +364,17 @@
 // shedRetryAfter is the Retry-After of a request that targets shed.
 const shedRetryAfter = 150 * time.Millisecond
 
+// refuseUnlessRun refuses a request that is not sent again. If it may have run at a target
+// before, the caller is not told that it has not.
+func (c *call) refuseUnlessRun(reason string, retryAfter time.Duration) {
+	if !c.mayHaveRun {
+		c.refuse(reason, retryAfter)
+		return
+	}
+	c.node.logNotSentAgain(c, reason)
+	c.fail(http.StatusBadGateway, "", nil)
+}
+
 // refuse tells the caller that the request was not run and when to retry.
 func (c *call) refuse(reason string, retryAfter time.Duration) {
 	c.node.logRefused(c, reason, retryAfter)
--- a/internal/entry/requestlog.go
+++ b/internal/entry/requestlog.go
@@ -94,6 +94,13 @@
 	n.log.EmitFields(evUnknown, append(c.attemptFields(a, t), kernel.String("no_retry", reason.String()))...)
 }
 
+// logNotSentAgain logs a request that may have run and that no target can take again.
+func (n *Node) logNotSentAgain(c *call, reason string) {
+	n.counters.countEnded("unknown", c.serviceName())
+	n.log.EmitFields(evUnknown, append(c.requestFields(),
+		kernel.String("no_retry", reason), kernel.Int("tries", int64(len(c.triedTargets))))...)
+}
+
 func (n *Node) logRefused(c *call, reason string, retryAfter time.Duration) {
 	n.counters.countEnded("refused", c.serviceName())
 	n.log.EmitFields(evRefused, append(c.requestFields(),
