Bodies in parts are counted whole; refused repeats count for no share

A request whose goal passed before it arrived has no goal to compare with, and was counted as an arrival of its route also if it was refused at once.

Change: the length of all parts; the whole time stands for a goal that has passed, and the term of the time saved is bounded on both sides; arrivals are counted after these refusals.

--- a/admission/pool/crossing.go
+++ b/admission/pool/crossing.go
@@ -335,6 +335,9 @@
 		c.lastCheck.at, c.lastCheck.wait = now, wait
 	}
 	work := crossing.Work{Goal: r.Goal - r.Arrived, UntilAim: r.Goal - now, UntilEnd: r.Deadline - now, Bytes: rc.bytes.Mean()}
+	if r.isPastGoal() {
+		work.Goal = r.Deadline - r.Arrived
+	}
 	place, net := -1, math.Inf(-1)
 	for i := base + 1; i < len(views); i++ {
 		if views[i].best == nil {
--- a/admission/pool/pool.go
+++ b/admission/pool/pool.go
@@ -222,13 +222,13 @@
 	p.now = now
 	p.cold.hasServed = true
 	p.recordArrival(now, r)
-	p.countCrossingArrival(now, r)
 	if a, refused := p.refuseThinned(now, r); refused {
 		return []Action{a}
 	}
 	if a, refused := p.refuseRepeat(now, r); refused {
 		return []Action{a}
 	}
+	p.countCrossingArrival(now, r)
 	if now >= r.NotBefore {
 		if t, fence, ok := p.pickTarget(now, r, p.reservedFor(r)); ok {
 			return []Action{p.start(now, t, fence, r)}
--- a/internal/entry/crossing.go
+++ b/internal/entry/crossing.go
@@ -83,7 +83,7 @@
 // recordCrossing counts a request that was sent, with the bytes of its body and its
 // answer, and passes them to the pool.
 func (c *call) recordCrossing(a pool.Action, t attempt) {
-	bytes := len(c.outbound.body)
+	bytes := partsLength(c.outbound.body)
 	if t.answer != nil {
 		bytes += t.answer.length()
 	}
--- a/routing/crossing/crossing.go
+++ b/routing/crossing/crossing.go
@@ -97,7 +97,7 @@
 
 // Work is a request as far as the decision depends on it.
 type Work struct {
-	Goal     time.Duration // whole latency goal
+	Goal     time.Duration // whole latency goal; the whole time if it had passed on arrival
 	UntilEnd time.Duration // time left until the deadline
 	UntilAim time.Duration // time left until the goal; negative if it has passed
 	Bytes    float64       // of the request and its answer
@@ -118,7 +118,7 @@
 	goal := max(w.Goal, time.Millisecond).Seconds()
 	room := min(1, there.Free*math.Exp(-there.Age.Seconds()/knowledgeAge.Seconds()))
 	gain := room*value(w, there) - value(w, here) - estimateError
-	gain += TimeWeight * min(1, (here.Expected-there.Expected).Seconds()/goal)
+	gain += TimeWeight * max(-1, min(1, (here.Expected-there.Expected).Seconds()/goal))
 	return Verdict{Gain: gain, Cost: w.Bytes / 1000 * price.Seconds() / ReferenceGoal.Seconds() * (1 + pressure)}
 }
 
