--- a/cmd/mangopost-entry/soak_system_test.go
+++ b/cmd/mangopost-entry/soak_system_test.go
@@ -71,6 +71,7 @@
 
 	mu       sync.Mutex
 	targets  []*standin.Target
+	names    map[string]bool // of all targets so far
 	lastBorn int64
 	version  int
 	calls    []*soakCall
@@ -80,7 +81,7 @@
 func newSoakSystem(t *testing.T, seed uint64) *soakSystem {
 	s := &soakSystem{
 		t: t, rand: rand.New(rand.NewPCG(seed, 1)), store: standin.NewStore(), recorder: standin.NewRecorder(),
-		lastBorn: time.Now().UnixMilli(), version: 1,
+		lastBorn: time.Now().UnixMilli(), version: 1, names: make(map[string]bool),
 	}
 	s.store.Fault = func(*http.Request) standin.Fault { return standin.Fault(s.fault.Load()) }
 	server := httptest.NewServer(s.store)
@@ -131,6 +132,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.targets = append(s.targets, started)
+	s.names[name] = true
 }
 
 func (s *soakSystem) addHost(i int, store string) {
--- a/cmd/mangopost-entry/soak_test.go
+++ b/cmd/mangopost-entry/soak_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -14,6 +15,8 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/mangopost/mangopost/platform"
+
 	links "github.com/mangopost/mangopost/internal/standin"
 	"github.com/mangopost/mangopost/platform/standin"
 )
@@ -188,6 +191,7 @@
 		func() { s.injectLinkFault(h, duration) },
 		func() { s.logEvent("compact"); s.store.Compact() },
 		func() { s.logEvent("configure"); s.configure() },
+		func() { s.restoreStore(duration / 2) },
 		func() { s.replaceTarget(true) },
 		func() { s.replaceTarget(false) },
 		func() {
@@ -209,6 +213,33 @@
 	faults[s.rand.IntN(len(faults))]()
 }
 
+// restoreStore lets the store come back from a copy that is as old as the duration. The
+// operator writes its newest configuration again, targets write their entries again, and
+// those of targets that have ended lapse.
+func (s *soakSystem) restoreStore(age time.Duration) {
+	s.logEvent("copy of the store, restored after %v", age)
+	copied := s.store.Copy()
+	s.after(age, func() {
+		s.store.Restore(copied)
+		s.configure()
+		for _, name := range s.endedTargets() {
+			s.store.Remove(platform.TargetPrefix + name)
+		}
+	})
+}
+
+// endedTargets returns the names under which no target runs any more.
+func (s *soakSystem) endedTargets() (names []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for name := range s.names {
+		if !slices.ContainsFunc(s.targets, func(t *standin.Target) bool { return t.Name == name }) {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
 func (s *soakSystem) logEvent(format string, args ...any) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
