TestCopyOfRefusalBehindOtherAnswerIsNotTaken writes copies where they can come

The test's target wrote a copy of a refusal on any used connection, also on one that never carried the refusal.

The copy now comes only on the connection that carried the refusal. Each play checks that the request reached the target exactly twice, and the case counts only if the other request used that connection.

--- a/internal/entry/answers_test.go
+++ b/internal/entry/answers_test.go
@@ -273,34 +273,42 @@
 
 // Guards against a refusal of a request that has run: a target writes an earlier refusal
 // once more, when the request is sent to it again after another one on the connection. On a
-// busy machine the other request may come after the repeat; then the case is played again.
+// busy machine the other request may come after the repeat, or on a connection of its own;
+// then the case is played again.
 func TestCopyOfRefusalBehindOtherAnswerIsNotTaken(t *testing.T) {
 	for range 20 {
-		if playCopyOfRefusal(t) == "id-a id-b id-a" {
+		ids, shared := playCopyOfRefusal(t)
+		assert.Equal(t, strings.Count(ids, "id-a"), 2, "%s: the request ran twice", ids)
+		if ids == "id-a id-b id-a" && shared {
 			return
 		}
 	}
-	t.Fatal("the other request never came between the two sends")
+	t.Fatal("the other request never came between the two sends, on the connection of the first")
 }
 
-// playCopyOfRefusal plays the case once and returns the IDs that reached the target.
-func playCopyOfRefusal(t *testing.T) string {
+// playCopyOfRefusal plays the case once. It returns the IDs that reached the target, and
+// whether the other request came on the connection that carried the refusal.
+func playCopyOfRefusal(t *testing.T) (ids string, shared bool) {
 	t.Helper()
 	refused, answered := make(chan struct{}), make(chan struct{})
 	var mu sync.Mutex
-	sends := make(map[string]int)
-	target := startScriptedTarget(t, func(conn net.Conn, r *http.Request, number int) bool {
+	var refusing net.Conn // the connection that carried the refusal, on which a copy may come
+	target := startScriptedTarget(t, func(conn net.Conn, r *http.Request, _ int) bool {
 		id := r.Header.Get(standin.HeaderID)
 		mu.Lock()
-		sends[id]++
-		first := sends[id] == 1
+		first := id == "id-a" && refusing == nil
+		if first {
+			refusing = conn
+		}
+		sameConn := conn == refusing
+		shared = shared || id == "id-b" && sameConn
 		mu.Unlock()
-		if id == "id-a" && first {
+		if first {
 			writeAnswer(conn, 421, id, "", "")
 			close(refused)
 			return true
 		}
-		if id == "id-a" && number > 0 {
+		if id == "id-a" && sameConn {
 			writeAnswer(conn, 421, id, "", "") // the second copy
 		}
 		writeAnswer(conn, 200, id, "ran "+id, "")
@@ -318,7 +326,7 @@
 	assert.NilError(t, err)
 	assert.Equal(t, fmt.Sprint(status, body), "200ran id-a")
 	<-answered
-	return strings.Join(target.received(), " ")
+	return strings.Join(target.received(), " "), shared
 }
 
 // Guards against a request that runs with another path or host: a path that begins with
