Rejected calls and old relays are no outage of the store

The store rejected a third of the hosts with 429 and served the others and the targets.

A call that the store rejects for its number is no sign of an outage, and neither are old relays alone: in an outage hosts do not trust them and call the store themselves, which fails.

Measured: TestOnlyOutageKeepsRemovedTargets fails before (429), passes now; a real outage (503) keeps entries as before.

--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -11,6 +11,7 @@
 	objectstore "github.com/mangopost/mangopost/internal/platform"
 	"github.com/mangopost/mangopost/lease/era"
 	"github.com/mangopost/mangopost/membership/mirror"
+	"github.com/mangopost/mangopost/platform"
 )
 
 const (
@@ -172,7 +173,9 @@
 			f.node.log.Emit(evStoreLost, "kind", f.prefix, "error", err.Error())
 		}
 		f.storeLost = true
-		f.node.recordStoreFailure()
+		if !errors.Is(err, platform.ErrTooManyCalls) {
+			f.node.recordStoreFailure()
+		}
 		f.node.gate.failed(steadyClock(), probe)
 	case probe:
 		f.node.gate.answered()
@@ -450,8 +453,8 @@
 	return out
 }
 
-// recordStoreFailure records that the store did not answer this host, or the host that
-// relays to it: entries of targets may expire until it does.
+// recordStoreFailure records that the store did not answer this host: entries of targets may
+// expire until it does.
 func (n *Node) recordStoreFailure() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/internal/entry/follow_test.go
+++ b/internal/entry/follow_test.go
@@ -44,6 +44,27 @@
 	assert.Equal(t, len(feed.apply(entry(3, false))), 1)
 }
 
+// The store rejects the calls of some hosts for their number and answers targets: a target
+// that has left meanwhile must not be kept, as after an outage. After 503 it is kept.
+func TestOnlyOutageKeepsRemovedTargets(t *testing.T) {
+	for status, kept := range map[int]int{http.StatusTooManyRequests: 0, http.StatusServiceUnavailable: 1} {
+		tm, _ := newTestTerm(t)
+		n := tm.node
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(status) }))
+		t.Cleanup(server.Close)
+		n.store = platform.NewStore(server.Listener.Addr().String())
+		f := n.feedOf(platform.TargetPrefix)
+		value, err := json.Marshal(standin.TargetEntry("s", "127.0.0.1:1", "here", 4, "ready", 1, 7))
+		assert.NilError(t, err)
+		n.directory.RecordAnswer(steadyClock() - time.Minute)
+		f.apply([]objectstore.Object{{Name: platform.TargetPrefix + "a", Version: 1, Value: value}})
+		f.callStore(t.Context(), false)
+		n.directory.RecordAnswer(steadyClock())
+		f.apply([]objectstore.Object{{Name: platform.TargetPrefix + "a", Version: 2, Deleted: true}})
+		assert.Equal(t, len(n.directory.TargetsOf("s")), kept, "status %d", status)
+	}
+}
+
 // The coordinator relays its own writes without watching them. If two writes are
 // acknowledged in reverse order it must list its objects again, because hosts that
 // have the later one would never be sent the earlier one.
--- a/internal/entry/reportframe.go
+++ b/internal/entry/reportframe.go
@@ -361,11 +361,7 @@
 		}
 		batch.Objects = append(batch.Objects, objectstore.Object{Name: o.Name, Version: o.Version, Deleted: o.Deleted, Value: value})
 	}
-	age := time.Duration(min(r.AgeMs, maxRelayAgeMs)) * time.Millisecond
-	if age >= f.node.maxRelayAge() { // the store does not answer the host that relays
-		f.node.recordStoreFailure()
-	}
-	f.applyBatch(batch, r.Full, age)
+	f.applyBatch(batch, r.Full, time.Duration(min(r.AgeMs, maxRelayAgeMs))*time.Millisecond)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.lastRelay, f.isOwnList = steadyClock(), false
--- a/membership/directory/directory.go
+++ b/membership/directory/directory.go
@@ -71,8 +71,9 @@
 	d.answeredAt, d.hasAnswer, d.failed = now, true, false
 }
 
-// RecordFailure records that the store did not answer this host, or the host that
-// relays to it.
+// RecordFailure records that the store did not answer this host. That it rejects calls for
+// their number, or does not answer the host that relays, is no failure: it may answer
+// targets all the same.
 func (d *Directory) RecordFailure() { d.failed = true }
 
 // RecordRestore records that the store came back from an older copy. The targets write
