--- a/admission/pool/pool.go
+++ b/admission/pool/pool.go
@@ -18,6 +18,16 @@
 //   - cold targets of a service that limits the requests to them: they get only what
 //     admission/coldstart lets this host send, and what only they could serve is refused
 //     with the time at which they take it (cold.go);
+//   - routes that only some regions may run: full regions do not hold back requests that
+//     may use others (regions.go);
+//   - bursts of long, less urgent requests beside short, urgent ones: targets are reserved
+//     before the urgent ones come, by what arrives (urgent.go, routecost.go);
+//   - targets that report their load, and many hosts that hear of each seldom: reports
+//     count by their age, and hosts do not all choose the same target (reported.go);
+//   - a data centre with too few targets: what cannot be answered in time there leaves it,
+//     if that pays (crossing.go);
+//   - callers that return after a refusal, past their goal: they give way while others
+//     lack room (repeats.go);
 //   - keys whose owner is full: only the requests of that owner wait.
 package pool
 
