A returning request is not held behind others until its deadline

A request whose goal has passed and that waits behind others was looked at only when the service had room: it was held for 1.98 s of 3 in the new test. It is refused now as soon as it could not be answered within a third of its time.

Measured: TestOvertakenRepeatIsNotHeldUntilDeadline fails before, passes now.

--- a/admission/pool/pool.go
+++ b/admission/pool/pool.go
@@ -365,6 +365,9 @@
 		owner, _ = p.ownerFor(r)
 	}
 	if now < r.NotBefore || full.covers(r) && !p.isPressed(now, r) || fullOwners[owner] {
+		if a, refused := p.refuseOvertaken(now, r); refused {
+			return a, true
+		}
 		return p.refuseHopeless(now, r)
 	}
 	t, fence, ok := p.pickTarget(now, r, regionSet{})
--- a/admission/pool/repeats_test.go
+++ b/admission/pool/repeats_test.go
@@ -85,3 +85,24 @@
 	}
 	assert.Assert(t, sent[true] >= 48, "%v: repeats alone get the whole part", sent)
 }
+
+// A request whose goal has passed waits behind others until it could not be answered within
+// a third of its time. It must be refused then, and not be held until its deadline.
+func TestOvertakenRepeatIsNotHeldUntilDeadline(t *testing.T) {
+	p := newUnkeyedPool(target("a", 1, pool.SameZone))
+	startedTarget(t, p.Arrive(0, request(1, 0)))
+	assert.Equal(t, len(p.Arrive(ms, request(2, ms))), 0)
+	late := repeated(request(3, 2*ms))
+	late.Deadline = 3002 * ms
+	assert.Equal(t, len(p.Arrive(2*ms, late)), 0)
+	for now := 10 * ms; now < late.Deadline; now += 10 * ms {
+		for _, a := range p.Tick(now) {
+			if a.ID == 3 {
+				assert.Equal(t, a.Reason, pool.PastGoal)
+				assert.Assert(t, now <= 1002*ms, "held for %v", now)
+				return
+			}
+		}
+	}
+	t.Fatal("not refused")
+}
