Entries kept after an outage are dropped when the period ends

A host that had been cut off keeps missing entries for two seconds after it has listed them again, and dropped them at the next housekeeping, up to half a second later. The end of the period now has a timer of its own.

Measured: TestRemovedTargetIsDroppedWhenReturnPeriodEnds, without housekeeping, fails before and passes now; -race passes.

--- a/internal/entry/feeds.go
+++ b/internal/entry/feeds.go
@@ -76,7 +76,10 @@
 		onAnswer: func() {
 			n.mu.Lock()
 			defer n.mu.Unlock()
-			n.directory.RecordAnswer(steadyClock())
+			if n.directory.RecordAnswer(steadyClock()) {
+				// Without it, targets that have left are used until the next housekeeping.
+				time.AfterFunc(storeReturn, func() { n.guard("return of the store", n.tickDirectory) })
+			}
 		},
 		onRestore: func() {
 			n.mu.Lock()
--- a/internal/entry/follow_test.go
+++ b/internal/entry/follow_test.go
@@ -65,6 +65,29 @@
 	}
 }
 
+// A host was cut off from the store. Targets that left meanwhile are kept for the period in
+// which entries return, and not until some later check: the host counts as in contact soon.
+func TestRemovedTargetIsDroppedWhenReturnPeriodEnds(t *testing.T) {
+	tm, _ := newTestTerm(t)
+	n := tm.node
+	f := n.feedOf(platform.TargetPrefix)
+	value, err := json.Marshal(standin.TargetEntry("s", "127.0.0.1:1", "here", 4, "ready", 1, 7))
+	assert.NilError(t, err)
+	n.directory.RecordAnswer(steadyClock() - time.Minute)
+	f.apply([]objectstore.Object{{Name: platform.TargetPrefix + "a", Version: 1, Value: value}})
+	n.directory.RecordFailure()
+	f.applyBatch(objectstore.Batch{Revision: 2}, true, 0) // the entry is gone
+	count := func() int {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		return len(n.directory.TargetsOf("s"))
+	}
+	assert.Equal(t, count(), 1)
+	for end := time.Now().Add(awaitLimit); count() > 0; time.Sleep(10 * time.Millisecond) {
+		assert.Assert(t, time.Now().Before(end), "still kept")
+	}
+}
+
 // The coordinator relays its own writes without watching them. If two writes are
 // acknowledged in reverse order it must list its objects again, because hosts that
 // have the later one would never be sent the earlier one.
--- a/membership/directory/directory.go
+++ b/membership/directory/directory.go
@@ -63,12 +63,15 @@
 // RecordAnswer records an answer from the store. Call it before passing in the
 // entries of the answer. A long time without answers counts as an outage of the store
 // only if it was found unavailable meanwhile: a host that was frozen, or that nobody
-// relayed to for a while, must not keep the entries of targets that have left.
-func (d *Directory) RecordAnswer(now time.Duration) {
-	if d.hasAnswer && d.failed && now-d.answeredAt > d.timing.OutageAfter {
+// relayed to for a while, must not keep the entries of targets that have left. It reports
+// whether the answer ends an outage: Tick is due when the period after it ends.
+func (d *Directory) RecordAnswer(now time.Duration) (hasReturned bool) {
+	hasReturned = d.hasAnswer && d.failed && now-d.answeredAt > d.timing.OutageAfter
+	if hasReturned {
 		d.returnedAt = now
 	}
 	d.answeredAt, d.hasAnswer, d.failed = now, true, false
+	return hasReturned
 }
 
 // RecordFailure records that the store did not answer this host. That it rejects calls for
--- a/membership/directory/directory_test.go
+++ b/membership/directory/directory_test.go
@@ -28,7 +28,7 @@
 func TestEntriesExpiredDuringOutageAreKeptForReturnPeriod(t *testing.T) {
 	d := newDirectory()
 	d.RecordFailure()
-	d.RecordAnswer(5 * second) // after an outage
+	assert.Assert(t, d.RecordAnswer(5*second), "after an outage")
 	d.Replace(5*second, nil)
 	assert.Equal(t, len(d.TargetsOf("s")), 2)
 	d.Put(directory.Entry{Name: "a", Service: "s", Run: 1, Heartbeat: 2})
@@ -46,8 +46,8 @@
 func TestTimeWithoutRelaysIsNoOutage(t *testing.T) {
 	d := newDirectory()
 	d.RecordFailure()
-	d.RecordAnswer(second / 2)
-	d.RecordAnswer(5 * second)
+	assert.Assert(t, !d.RecordAnswer(second/2), "no time has passed")
+	assert.Assert(t, !d.RecordAnswer(5*second), "the store was available")
 	d.Remove(5*second, "a")
 	assert.Equal(t, len(d.TargetsOf("s")), 1)
 }
