--- a/admission/pool/crossing_test.go
+++ b/admission/pool/crossing_test.go
@@ -12,7 +12,7 @@
 	"github.com/mangopost/mangopost/routing/crossing"
 )
 
-// learnCrossing makes the costs of distance learned, with a link of its own for each host.
+// learnCrossing sets the configuration to learned costs of distance, with one link per host.
 func learnCrossing(hosts int) func(*pool.Config) {
 	return func(c *pool.Config) {
 		c.Crossing = pool.CrossingConfig{Learned: true, Prices: crossing.DefaultPrices, Link: new(crossing.Link)}
--- a/internal/crowd/system_test.go
+++ b/internal/crowd/system_test.go
@@ -103,7 +103,7 @@
 	}))
 	text, err := os.ReadFile(path)
 	assert.NilError(t, err)
-	text = fmt.Appendf(text, "\nself.limits.memoryMb=%d\nself.limits.maxFds=%d\n", l.memory>>20, l.files)
+	text = append(text, standin.LimitSettings(int64(l.memory), l.files)...)
 	assert.NilError(t, os.WriteFile(path, text, 0o600))
 	log, err := os.Create(logPath)
 	assert.NilError(t, err)
@@ -117,11 +117,11 @@
 		_ = log.Close()
 	})
 	callers := fmt.Sprintf("127.0.0.1:%d", ports[0])
-	headers := "Host: " + standin.FixtureHost + "\r\nShard-Key: 0\r\nDeadline-Ms: 8000\r\n"
+	headers := "Host: " + standin.FixtureHost + "\r\n" + standin.HeaderKey + ": 0\r\n" + standin.HeaderDeadline + ": 8000\r\n"
 	s := &system{limits: l, pid: cmd.Process.Pid, log: func() string { return tail(logPath) }, endpoints: []endpoint{
 		{callers, "/" + service + "/x?", "/" + service + "/x?", headers, "bytes=" + strconv.Itoa(largeAnswerBytes)},
 		{callers, "/none/x?", "/none/x?", headers, ""},
-		{fmt.Sprintf("127.0.0.1:%d", ports[1]), "/api/ready?", "/api/ready?", headers, ""},
+		{fmt.Sprintf("127.0.0.1:%d", ports[1]), standin.ReadinessPath + "?", standin.ReadinessPath + "?", headers, ""},
 		{fmt.Sprintf("127.0.0.1:%d", ports[3]), "/metrics?", "/metrics?", headers, ""},
 	}}
 	s.awaitAnswer(t)
@@ -129,17 +129,7 @@
 }
 
 func configure(store *standin.Store, l limits) {
-	store.Set("config/main", map[string]any{
-		"version": fmt.Sprintf("%08x", 1),
-		"routes": []any{map[string]any{
-			"name": service, "host": standin.FixtureHost, "pathPrefix": "/" + service + "/", "kind": "unsafe", "service": service,
-			"timeoutMs": routeTimeout.Milliseconds(), "targetLatencyMs": 400, "priority": 1, "maxAttempts": 2,
-		}},
-		"services": []any{map[string]any{"name": service, "maxConns": 100, "sharded": false, "warmS": 0.1}},
-		"limits": map[string]any{
-			"maxBodyBytes": l.bodyBytes, "maxHeaderBytes": 16384, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000,
-		},
-	})
+	standin.SetLimitedConfiguration(store, service, routeTimeout, int64(l.bodyBytes))
 }
 
 // startTarget starts a target that discards bodies and answers with as many bytes as
@@ -148,7 +138,7 @@
 	target := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body) // the sender may have given up
 		size, _ := strconv.Atoi(r.URL.Query().Get("bytes"))
-		w.Header().Set("Attempt-Id", r.Header.Get("Attempt-Id"))
+		w.Header().Set(standin.HeaderID, r.Header.Get(standin.HeaderID))
 		w.Header().Set("Content-Length", strconv.Itoa(size))
 		_, _ = w.Write(bytes.Repeat([]byte("x"), size)) // the reader may have given up
 	}))
@@ -239,7 +229,7 @@
 		path = e.get
 	}
 	id := fmt.Sprintf("%d-%d", time.Now().UnixNano(), number)
-	return method + " " + path + " HTTP/1.1\r\n" + e.headers + "Attempt-Id: " + id + "\r\nMangopost-Request-Id: " + id + "\r\n"
+	return method + " " + path + " HTTP/1.1\r\n" + e.headers + standin.HeaderID + ": " + id + "\r\nMangopost-Request-Id: " + id + "\r\n"
 }
 
 // peakMemory returns the peak resident memory in bytes, or an error if the process has
--- a/internal/entry/answers_test.go
+++ b/internal/entry/answers_test.go
@@ -272,9 +272,8 @@
 }
 
 // Guards against a refusal of a request that has run: a target writes an earlier refusal
-// once more, when the request is sent to it again after another one on the connection. On a
-// busy machine the other request may come after the repeat, or on a connection of its own;
-// then the case is played again.
+// once more, when the request is sent to it again after another one on the connection. The
+// case is repeated if the other request arrived too late, or used a different connection.
 func TestCopyOfRefusalBehindOtherAnswerIsNotTaken(t *testing.T) {
 	for range 20 {
 		ids, shared := playCopyOfRefusal(t)
--- a/internal/entry/evacuations.go
+++ b/internal/entry/evacuations.go
@@ -16,8 +16,8 @@
 	// that change them without end cost ten calls a second at most.
 	evacuationPause = 100 * time.Millisecond
 	// evacuationSettleBeats is the time after the end of an evacuation, in heartbeats,
-	// within which entries may still be from before it: the first write may be under way,
-	// and targets are watched with pauses.
+	// within which entries may still be from before it: a target may have sent a write just
+	// before the end, and hosts watch targets with pauses.
 	evacuationSettleBeats = 2
 	// coldTolerance is the growth of a target's cold time that is not passed on: times of
 	// entries differ by the pause of the target feed.
--- a/internal/entry/repeats.go
+++ b/internal/entry/repeats.go
@@ -20,18 +20,18 @@
 func (r *repeats) observe(route string, deadline time.Duration) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.of(route).Observe(steadyClock(), deadline)
+	return r.learnedRoute(route).Observe(steadyClock(), deadline)
 }
 
 // recordRefusal records that a request of a route was refused.
 func (r *repeats) recordRefusal(route string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.of(route).RecordRefusal(steadyClock())
+	r.learnedRoute(route).RecordRefusal(steadyClock())
 }
 
-// of returns what is known of a route. mu is held.
-func (r *repeats) of(route string) *repeat.Route {
+// learnedRoute returns the state of a route and creates it if needed. mu is held.
+func (r *repeats) learnedRoute(route string) *repeat.Route {
 	known := r.routes[route]
 	if known == nil {
 		known = &repeat.Route{}
--- a/internal/entry/reserve_test.go
+++ b/internal/entry/reserve_test.go
@@ -29,7 +29,7 @@
 // each request while it reports free slots is no longer believed.
 func TestLoadReportsReachPool(t *testing.T) {
 	target := startScriptedTarget(t, func(conn net.Conn, r *http.Request, _ int) bool {
-		writeAnswer(conn, 503, r.Header.Get(standin.HeaderID), "", standin.LineNotRun+"Server-Load: 0,0,6,100\r\n")
+		writeAnswer(conn, 503, r.Header.Get(standin.HeaderID), "", standin.LineNotRun+standin.LineIdle)
 		return true
 	})
 	n, url := newServingNode(t, target)
--- a/internal/memlimit/listener.go
+++ b/internal/memlimit/listener.go
@@ -13,8 +13,8 @@
 )
 
 const (
-	// fieldBytes is what a field of a head takes in memory beyond its text: its entries
-	// in the map of fields and in the copies that are made of the map. 360 heads with
+	// fieldBytes is the memory, in bytes, that one header field takes in addition to its
+	// text: its entries in the header map and in copies of that map. 360 heads with
 	// 2,700 fields each took 95 to 135 MB, 100 to 140 bytes for a field.
 	fieldBytes = 250
 	// filesReserved is the number of descriptors that are left for files.
