The price of bytes within a region follows from the time of a crossing

It is priced now by the rule of the other: a crossing within a region takes 3 ms longer, and 3 kB cost as much, 1 ms for 1 kB in place of 2.5 ms.

--- a/routing/crossing/crossing.go
+++ b/routing/crossing/crossing.go
@@ -82,9 +82,9 @@
 type Prices [NumPlaces]time.Duration
 
 // DefaultPrices are the prices without configuration. A crossing to another region moves
-// 1.5 kB to 5 kB and takes 60 ms longer; its bytes are priced as the same time for 3 kB.
-// Bytes between the data centres of a region cost an eighth, by price and volume.
-var DefaultPrices = Prices{Home: 0, Region: 2500 * time.Microsecond, Far: 20 * time.Millisecond}
+// 1.5 kB to 5 kB and takes 60 ms longer; its bytes are priced as the same time for 3 kB. A
+// crossing within a region takes 3 ms longer, and is priced by the same rule.
+var DefaultPrices = Prices{Home: 0, Region: time.Millisecond, Far: 20 * time.Millisecond}
 
 // Offer is what a request can expect at a place.
 type Offer struct {
