Review: fields of heads are returned before the answer is read (case 8)

Cause: beginDelivery returns what a head takes to the memory limit, but its maps stay while the handler waits for a client that does not read.

--- a/review/standin-2/server.go
+++ b/review/standin-2/server.go
@@ -31,6 +31,12 @@
 	stopped             chan struct{}
 	http                *http.Server
 	conns               connections
+	intercept           atomic.Pointer[interceptor]
+}
+
+// interceptor handles some requests in place of a back end. It reports whether it did.
+type interceptor struct {
+	handle func(w http.ResponseWriter, body []byte, id string) bool
 }
 
 // startServer starts a back end on a loopback port.
@@ -76,7 +82,7 @@
 		w.Header().Set("Instance-Id", b.name)
 		return
 	}
-	_, err := io.Copy(io.Discard, r.Body)
+	body, err := io.ReadAll(r.Body)
 	if expect := r.Header.Get("Expect-Instance"); expect != "" && expect != b.name {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -90,6 +96,9 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	if i := b.intercept.Load(); i != nil && i.handle(w, body, id) {
+		return
+	}
 	b.record.line("%s runs %s %s %s", b.name, id, r.Method, r.URL.Path)
 	time.Sleep(b.work)
 	text := strings.Repeat("a", b.answerBytes)
@@ -103,7 +112,7 @@
 func (b *server) crash() {
 	b.record.say("%s crashes with %d requests", b.name, b.running.Load())
 	close(b.stopped)
-	_ = b.http.Close()
 	b.conns.reset()
+	_ = b.http.Close()
 	time.AfterFunc(3*heartbeatMS*time.Millisecond, func() { b.store.Remove("servers/" + b.name) })
 }
--- a/review/standin-2/traffic.go
+++ b/review/standin-2/traffic.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -38,6 +39,7 @@
 	name, method, path string
 	record             *record
 	timeBudget         time.Duration
+	body               string
 	kept               bool   // connections are kept open
 	ip                 string // the clients' address; empty: any
 	sent, served       atomic.Int64
@@ -47,7 +49,7 @@
 // send sends one request and returns its status, or the error.
 func (c *callers) send(client *http.Client, h *host) string {
 	id := fmt.Sprintf("%s-%d", c.name, c.number.Add(1))
-	req, err := http.NewRequest(c.method, "http://"+h.addr()+c.path, nil)
+	req, err := http.NewRequest(c.method, "http://"+h.addr()+c.path, strings.NewReader(c.body))
 	must(err)
 	req.Host = hostName
 	req.Header.Set("Attempt-Id", id)
