--- a/review/standin-2/server.go
+++ b/review/standin-2/server.go
@@ -32,8 +32,12 @@
 	http                *http.Server
 	conns               connections
 	intercept           atomic.Pointer[interceptor]
+	override            atomic.Pointer[handlerBox] // handles all requests, if set
+	state               atomic.Value               // of the entry
 }
 
+type handlerBox struct{ http.Handler }
+
 // interceptor handles some requests in place of a back end. It reports whether it did.
 type interceptor struct {
 	handle func(w http.ResponseWriter, body []byte, id string) bool
@@ -51,6 +55,7 @@
 		name: name, service: service, zone: zone, slots: slots, work: work, record: r, store: store,
 		born: time.Now().UnixMilli(), addr: l.Addr().String(), stopped: make(chan struct{}), answerBytes: usualAnswer,
 	}
+	b.state.Store("ready")
 	b.http = &http.Server{Handler: b, ConnState: b.conns.note}
 	go func() { _ = b.http.Serve(l) }()
 	b.writeEntry()
@@ -70,12 +75,16 @@
 }
 
 func (b *server) writeEntry() {
-	b.store.Set("servers/"+b.name, standin.TargetEntry(b.service, b.addr, b.zone, b.slots, "ready", b.seq.Add(1), b.born))
+	b.store.Set("servers/"+b.name, standin.TargetEntry(b.service, b.addr, b.zone, b.slots, b.state.Load().(string), b.seq.Add(1), b.born))
 }
 
 // ServeHTTP runs a request, or rejects it if its queue is full or it is not for this back
 // end.
 func (b *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if o := b.override.Load(); o != nil {
+		o.ServeHTTP(w, r)
+		return
+	}
 	id := r.Header.Get("Attempt-Id")
 	w.Header().Set("Attempt-Id", id)
 	if r.URL.Path == "/health" {
--- a/review/standin-2/traffic.go
+++ b/review/standin-2/traffic.go
@@ -47,13 +47,19 @@
 }
 
 // send sends one request and returns its status, or the error.
-func (c *callers) send(client *http.Client, h *host) string {
+func (c *callers) send(client *http.Client, h *host) string { return c.sendKey(client, h, -1) }
+
+// sendKey is send for a request that carries a key, unless it is negative.
+func (c *callers) sendKey(client *http.Client, h *host, key int) string {
 	id := fmt.Sprintf("%s-%d", c.name, c.number.Add(1))
 	req, err := http.NewRequest(c.method, "http://"+h.addr()+c.path, strings.NewReader(c.body))
 	must(err)
 	req.Host = hostName
 	req.Header.Set("Attempt-Id", id)
 	req.Header.Set("Deadline-Ms", fmt.Sprint(c.timeBudget.Milliseconds()))
+	if key >= 0 {
+		req.Header.Set("Shard-Key", fmt.Sprint(key))
+	}
 	c.sent.Add(1)
 	resp, err := client.Do(req)
 	if err != nil {
