An answer clears a request of the targets that ended with it

Cause: three ends quarantined a request, though they had one cause outside, and nothing cleared it then. Answers of copies that ran elsewhere at that moment were ignored, those of before not remembered, and the other hosts did not learn what one had cleared. The quarantine had no probe.

A whole answer clears all ends known by then, also after the third; an end within 2 s of an answer does not count. Records carry a mark for each end that is only ever set, so hosts may exchange them in any order. What stays quarantined is run once as a probe, three times at most over all hosts: the number is written to the store on the condition of the version read. A write without an answer counts as no probe. MP6106 lists each end with its age and whether the request was answered; MP6107 to MP6109 are new.

Test replaced: the end of TestRunThatAnswersClearsSuspect asked that an answer does not clear a quarantined request, which is the fault; it now asks that it does, on every host.

--- a/internal/entry/events.go
+++ b/internal/entry/events.go
@@ -52,7 +52,10 @@
 
 	evPaused = kernel.RegisterEvent(6105, hclog.Info, "target asked for a pause")
 
-	evSuspect = kernel.RegisterEvent(6106, hclog.Warn, "target ended while it ran a request")
+	evSuspect       = kernel.RegisterEvent(6106, hclog.Warn, "target ended while it ran a request")
+	evProbe         = kernel.RegisterEvent(6107, hclog.Warn, "quarantined request runs once as a probe")
+	evProbeNotTaken = kernel.RegisterEvent(6108, hclog.Info, "probe of a quarantined request was not taken")
+	evCleared       = kernel.RegisterEvent(6109, hclog.Info, "request that targets ended with was answered")
 
 	evCoordinator    = kernel.RegisterEvent(6200, hclog.Info, "this host is the coordinator")
 	evNoCoordinator  = kernel.RegisterEvent(6201, hclog.Warn, "this host is no longer the coordinator")
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -53,8 +53,12 @@
 	elapsed         time.Duration // since the caller sent the request first, if it sends it again
 	deadline        time.Duration // when an answer stops being of use
 	triedTargets    []string
-	notOwnerAnswers int  // answers of targets that do not hold the key
-	mayHaveRun      bool // at a target that failed it: no refusal may say that it has not run
+	notOwnerAnswers int                 // answers of targets that do not hold the key
+	mayHaveRun      bool                // at a target that failed it: no refusal may say that it has not run
+	contentHash     routing.Fingerprint // if hasContentHash
+	hasContentHash  bool
+	isProbe         bool // it is quarantined and runs once all the same
+	reachedTarget   bool // a target may have begun to run it
 }
 
 // ServeHTTP handles a caller's request.
@@ -71,10 +75,10 @@
 		c.limitUnreadBody()
 		return
 	}
-	if c.isQuarantined() {
-		c.refuse("quarantined", quarantineRetryAfter)
+	if !c.passQuarantine() {
 		return
 	}
+	defer c.endProbe()
 	setHandling(r.Context(), true)
 	defer setHandling(r.Context(), false)
 	c.run()
@@ -111,9 +115,39 @@
 	return true
 }
 
-// isQuarantined reports whether the request must not run because targets ended with it.
+// isQuarantined reports whether the request must not be sent again because targets ended
+// with it.
 func (c *call) isQuarantined() bool {
-	return !c.node.quarantine.isEmpty() && c.node.quarantine.holds(c.fingerprint())
+	return !c.node.quarantine.isEmpty() && c.node.quarantine.check(c.fingerprint()).Refused
+}
+
+// passQuarantine reports whether the request may run: it is not quarantined, or it is the
+// probe that may clear it. If it reports false, the caller has been answered.
+func (c *call) passQuarantine() bool {
+	if c.node.quarantine.isEmpty() {
+		return true
+	}
+	fp := c.fingerprint()
+	v := c.node.quarantine.check(fp)
+	if !v.Refused {
+		return true
+	}
+	if c.isProbe = c.node.takeProbe(c.r.Context(), c.ID, fp, v); c.isProbe {
+		return true
+	}
+	retryAfter := maxQuarantineRetryAfter
+	if v.HasProbe {
+		retryAfter = min(max(v.ProbeIn, minQuarantineRetryAfter), maxQuarantineRetryAfter)
+	}
+	c.refuse("quarantined", retryAfter)
+	return false
+}
+
+// endProbe ends the probe of a quarantined request.
+func (c *call) endProbe() {
+	if c.isProbe {
+		c.node.quarantine.endClaim(c.fingerprint(), !c.reachedTarget)
+	}
 }
 
 func stripPort(host string) string {
@@ -209,6 +243,7 @@
 		c.outbound.connectWithin = coldConnectTime
 	}
 	t := c.node.exchange(sendCtx, c.outbound, a.Target, c.deadline-steadyClock())
+	c.reachedTarget = c.reachedTarget || t.reply.Sent && !t.reply.SaysNotRun
 	c.recordCrossing(a, t)
 	trust := c.service.finish(a, t)
 	c.recordLoad(a, t, trust)
--- a/internal/entry/reports.go
+++ b/internal/entry/reports.go
@@ -154,7 +154,7 @@
 		n.settleMoves(s.Service, decodeSettled(s))
 	}
 	n.recordLeavingRuns(reply.Leaving)
-	n.quarantine.merge(reply.Suspects, nil)
+	n.quarantine.merge(reply.Suspects)
 }
 
 func (n *Node) slotsFunc() demand.Slots {
@@ -312,7 +312,7 @@
 		}
 	}
 	n.recordLeavingRuns(in.Leaving)
-	n.quarantine.merge(in.Suspects, in.Survived)
+	n.quarantine.merge(in.Suspects)
 	out.Relays = n.relaysSince(in.Feeds)
 	out.Leaving = encodeRuns(n.recentMarks())
 	out.Suspects = n.quarantine.sharedWith(in.KnownSuspects)
--- a/internal/entry/targetend.go
+++ b/internal/entry/targetend.go
@@ -25,6 +25,13 @@
 // fingerprint returns a hash of the content of the caller's request, which is the same
 // when the same caller sends it again.
 func (c *call) fingerprint() routing.Fingerprint {
+	if !c.hasContentHash {
+		c.contentHash, c.hasContentHash = c.hashContent(), true
+	}
+	return c.contentHash
+}
+
+func (c *call) hashContent() routing.Fingerprint {
 	var d xxhash.Digest
 	d.Reset()
 	for _, part := range []string{c.outbound.method, c.outbound.host, c.outbound.uri, c.remoteIP()} {
@@ -54,16 +61,22 @@
 		if isSuspect {
 			<-done // the check ends after dialTimeout
 		}
-	case t.answer != nil && !t.reply.SaysNotRun && !q.isEmpty():
-		q.recordRun(c.fingerprint())
+	case t.answer != nil && !t.reply.SaysNotRun:
+		fp := c.fingerprint()
+		if record, cleared := q.recordAnswer(fp); cleared {
+			c.node.log.Emit(evCleared, "request", c.ID, "fingerprint", fp.String(), "target", owner.Target, "run", owner.Run,
+				"ends", evidenceText(record, steadyClock()))
+			c.node.requestReport()
+		}
 	}
 }
 
-// ends returns the number of targets that ended with a request.
+// ends returns the number of targets that ended with a request and count.
 func (q *quarantine) ends(fp routing.Fingerprint) int {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.table.Crashes(fp)
+	record := q.table.Record(fp)
+	return record.Evidence()
 }
 
 // recordEnd counts the request with the given ID, whose connection broke without an answer, if its target
@@ -75,16 +88,14 @@
 	if ok && e.Run == owner.Run && e.Leaving || !n.hasEnded(owner) {
 		return
 	}
-	ends := n.quarantine.recordEnd(fp, owner)
-	n.log.Emit(evSuspect, "request", id, "fingerprint", fp.String(), "target", owner.Target, "run", owner.Run, "ends", ends,
-		"quarantined", ends >= suspects.CrashThreshold)
-	if ends >= suspects.CrashThreshold {
+	record := n.quarantine.recordEnd(fp, owner)
+	isQuarantined := record.Evidence() >= suspects.CrashThreshold
+	n.log.Emit(evSuspect, "request", id, "fingerprint", fp.String(), "target", owner.Target, "run", owner.Run, "count", record.Evidence(),
+		"quarantined", isQuarantined, "ends", evidenceText(record, steadyClock()))
+	if isQuarantined {
 		n.counters.countQuarantined()
 	}
-	select {
-	case n.reportNow <- struct{}{}:
-	default: // a report is due already
-	}
+	n.requestReport()
 }
 
 // hasEnded reports whether nothing listens at a target's address. Requests whose
--- a/routing/poison.go
+++ b/routing/poison.go
@@ -3,6 +3,7 @@
 import (
 	"container/list"
 	"fmt"
+	"slices"
 	"strconv"
 	"time"
 
@@ -30,9 +31,17 @@
 	CrashThreshold int           // crashes after which a request is quarantined
 	MaxEntries     int           // maximum number of recorded fingerprints
 	Retention      time.Duration // how long a record is kept after the last crash
+	// SuspectRetention replaces Retention for a request that is not quarantined; 0 means
+	// no difference.
+	SuspectRetention time.Duration
 	// Probation is how long after the last crash a quarantined request may be
 	// run once more, to show whether it is innocent.
 	Probation time.Duration
+	// ProbeDelays, if any, are how long after the last crash or probe each further probe
+	// of a quarantined request is due (Check). A whole answer shortly before a crash, or at
+	// any time after it, then clears it (RecordAnswer): a request that ends every target
+	// that runs it is never answered.
+	ProbeDelays []time.Duration
 }
 
 // DefaultPoison quarantines a request at its second crash.
@@ -46,9 +55,16 @@
 	Service     string   `json:"service"`
 	Crashes     []Crash  `json:"crashes"`
 	Clients     []string `json:"clients,omitempty"`
-	// ProbeMS is when a host took the one probe, in Unix milliseconds; 0 if
+	// ProbeMS is when a host took the last probe, in Unix milliseconds; 0 if
 	// none did.
 	ProbeMS int64 `json:"probe_ms,omitempty"`
+	// Probes is the number of probes that hosts took, and ClearedProbes how many of them
+	// do not count, since an answer came later. Both only rise.
+	Probes        int `json:"probes,omitempty"`
+	ClearedProbes int `json:"cleared_probes,omitempty"`
+
+	// ClearedMS is when this table last learned of an answer, in Unix milliseconds.
+	ClearedMS int64 `json:"-"`
 }
 
 // Crash is the end of a target's process while the request ran on it. Target
@@ -57,6 +73,9 @@
 	Target string `json:"target"`
 	Run    uint64 `json:"run"`   // gateway epoch or incarnation at the target
 	AtMS   int64  `json:"at_ms"` // Unix time in milliseconds
+	// Cleared says that a target has answered the request shortly before the crash or
+	// since it is known. It is never taken back.
+	Cleared bool `json:"cleared,omitempty"`
 }
 
 // maxSuspectCrashes and maxSuspectClients bound the size of a record.
@@ -72,15 +91,20 @@
 	cfg          PoisonConfig
 	entries      map[Fingerprint]*list.Element // of *Suspect
 	byLastChange *list.List                    // least recently changed first
+	answers      *recentAnswers                // nil without ProbeDelays
 }
 
 // NewPoison returns an empty quarantine.
 func NewPoison(cfg PoisonConfig) *Poison {
-	return &Poison{
+	p := &Poison{
 		cfg:          cfg,
 		entries:      make(map[Fingerprint]*list.Element),
 		byLastChange: list.New(),
 	}
+	if len(cfg.ProbeDelays) > 0 {
+		p.answers = &recentAnswers{}
+	}
+	return p
 }
 
 // RecordCrash records that a target's process ended while it ran the request.
@@ -88,6 +112,7 @@
 // unlikely to run during a second crash as well. It returns the record and
 // whether it changed and must be shared.
 func (p *Poison) RecordCrash(fp Fingerprint, service, client string, c Crash) (Suspect, bool) {
+	c.Cleared = c.Cleared || p.answers.since(fp, c.AtMS-answeredBefore.Milliseconds())
 	return p.Merge(Suspect{
 		Fingerprint: fp.String(),
 		Service:     service,
@@ -123,6 +148,13 @@
 		record.ProbeMS = s.ProbeMS
 		changed = true
 	}
+	if changed {
+		record.ClearedMS = max(record.ClearedMS, s.ClearedMS)
+	}
+	if s.Probes > record.Probes || s.ClearedProbes > record.ClearedProbes {
+		record.Probes, record.ClearedProbes = max(s.Probes, record.Probes), max(s.ClearedProbes, record.ClearedProbes)
+		changed = true
+	}
 	p.byLastChange.MoveToBack(p.entries[fp])
 	p.evictOldest()
 	return record.clone(), changed
@@ -135,19 +167,31 @@
 		return false
 	}
 	s := element.Value.(*Suspect)
-	if s.olderThan(now, p.cfg.Retention) {
+	if s.olderThan(now, p.retentionOf(s)) {
 		p.remove(fp)
 		return false
 	}
-	return len(s.Crashes) >= p.cfg.CrashThreshold
+	return s.Evidence() >= p.cfg.CrashThreshold
+}
+
+// retentionOf returns how long after its last crash a record is kept.
+func (p *Poison) retentionOf(s *Suspect) time.Duration {
+	switch evidence := s.Evidence(); {
+	case evidence == 0:
+		return clearedRetention
+	case p.cfg.SuspectRetention > 0 && evidence < p.cfg.CrashThreshold:
+		return p.cfg.SuspectRetention
+	default:
+		return p.cfg.Retention
+	}
 }
 
-// Crashes returns the number of crashes recorded for a fingerprint.
-func (p *Poison) Crashes(fp Fingerprint) int {
+// Record returns a copy of the record of a fingerprint, empty if there is none.
+func (p *Poison) Record(fp Fingerprint) Suspect {
 	if element := p.entries[fp]; element != nil {
-		return len(element.Value.(*Suspect).Crashes)
+		return element.Value.(*Suspect).clone()
 	}
-	return 0
+	return Suspect{}
 }
 
 // RemoveOld removes the records that are older than their retention.
@@ -155,7 +199,7 @@
 	for e := p.byLastChange.Front(); e != nil; {
 		s := e.Value.(*Suspect)
 		e = e.Next()
-		if s.olderThan(now, p.cfg.Retention) {
+		if s.olderThan(now, p.retentionOf(s)) {
 			fp, _ := ParseFingerprint(s.Fingerprint) // the table has valid ones only
 			p.remove(fp)
 		}
@@ -177,7 +221,8 @@
 // RecordRun records that a target ran the request without crashing. It clears a
 // suspect that is not quarantined, so that a popular request is not quarantined
 // because targets crash for other reasons. It reports whether a record was
-// removed, so that its object must be deleted.
+// removed, so that its object must be deleted. With ProbeDelays, RecordAnswer takes its
+// place.
 func (p *Poison) RecordRun(fp Fingerprint) bool {
 	element := p.entries[fp]
 	if element == nil {
@@ -231,13 +276,21 @@
 }
 
 func (s *Suspect) addCrash(c Crash) bool {
-	for _, known := range s.Crashes {
+	for i := range s.Crashes {
+		known := &s.Crashes[i]
 		if known.Target == c.Target && known.Run == c.Run {
-			return false
+			changed := c.Cleared && !known.Cleared
+			known.Cleared = known.Cleared || c.Cleared
+			return changed
 		}
 	}
 	if len(s.Crashes) >= maxSuspectCrashes {
-		return false
+		// Evidence that still counts takes the place of evidence that does not.
+		i := slices.IndexFunc(s.Crashes, func(known Crash) bool { return known.Cleared })
+		if i < 0 || c.Cleared {
+			return false
+		}
+		s.Crashes = slices.Delete(s.Crashes, i, i+1)
 	}
 	s.Crashes = append(s.Crashes, c)
 	return true
@@ -257,7 +310,7 @@
 }
 
 func (s *Suspect) olderThan(now time.Time, age time.Duration) bool {
-	var last int64
+	last := s.ClearedMS
 	for _, c := range s.Crashes {
 		last = max(last, c.AtMS)
 	}
