Targets that end within an answer count against its request

Cause: the end of a target was looked for only where the connection broke before the first byte of an answer (mangopost-entry) or before a whole head (mangopost-router). On the same path: one connection at the moment of the break decided, and a process that resets its connections before its listener is gone counted as alive.

Change: a connection that is closed or reset before the answer is whole leads to the check, whatever had come. The check's connection is watched for 100 ms, and the address is tried once more if it ends. Still one check for each target and second; sound targets that reset or close connections, and leaving ones, do not count. In the router an answer that breaks off makes its request a candidate, and a long whole answer clears it.

TestRequestThatEndsTargetsIsQuarantined keeps its checks and bounds for each stage.

--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -80,9 +80,9 @@
 	reused bool
 	err    error
 
-	// brokeUnanswered means that the connection ended before the target had sent a byte
-	// of an answer: the target may have ended with the request.
-	brokeUnanswered bool
+	// brokeUnfinished means that the connection ended before the answer was whole, whatever
+	// had come of it: the target may have ended with the request.
+	brokeUnfinished bool
 
 	isReusable bool // the connection can carry another request
 
@@ -139,7 +139,7 @@
 	t.reused = conn.reused
 	isAborted := !stop()
 	if isAborted {
-		t.result, t.brokeUnanswered = pool.Abandoned, false
+		t.result, t.brokeUnfinished = pool.Abandoned, false
 		t.reply.Failed = true
 	}
 	// Only now can ctx no longer reset the connection under another request.
@@ -173,7 +173,7 @@
 	if err != nil {
 		return attempt{
 			reply: routing.Reply{Sent: true, Failed: true}, result: resultOfError(err), err: err,
-			brokeUnanswered: conn.isUnanswered() && resultOfError(err) == pool.Broken,
+			brokeUnfinished: conn.limit.hasEnded && resultOfError(err) == pool.Broken,
 		}
 	}
 	conn.setIdleTimeout(ans.header.Get("Keep-Alive"))
@@ -334,10 +334,6 @@
 	return resp.ProtoMajor == 1 && resp.StatusCode >= http.StatusContinue && resp.StatusCode != http.StatusSwitchingProtocols
 }
 
-// isUnanswered reports whether no byte of an answer was received. Call it while an
-// answer's head is read.
-func (c *targetConn) isUnanswered() bool { return c.limit.left == maxAnswerHeadBytes }
-
 // answers reports whether an answer is that to the request with the given ID. An
 // answer without an ID that refuses the request counts only on a new connection: on
 // another one it may be a second copy of an earlier answer.
--- a/internal/entry/quarantine_test.go
+++ b/internal/entry/quarantine_test.go
@@ -23,7 +23,7 @@
 
 // endingTargets returns targets that behave as end says when a request for "poison"
 // arrives; each answers other requests.
-func endingTargets(t *testing.T, count int, end func(s *scriptedTarget, conn net.Conn)) []*scriptedTarget {
+func endingTargets(t *testing.T, count int, end func(s *scriptedTarget, conn net.Conn, id string)) []*scriptedTarget {
 	t.Helper()
 	targets := make([]*scriptedTarget, count)
 	var mu sync.Mutex // held until targets is complete
@@ -38,7 +38,7 @@
 			mu.Lock()
 			s := targets[i]
 			mu.Unlock()
-			end(s, conn)
+			end(s, conn, r.Header.Get(standin.HeaderID))
 			return false
 		})
 	}
@@ -88,53 +88,100 @@
 	_ = conn.(*net.TCPConn).SetLinger(0)
 }
 
-// Guards against a request that ends one target after the other (review/5): with each
-// target that runs it, all work there is lost.
+// answerStages are what a target may have sent of an answer when its connection ends.
+var answerStages = map[string]string{
+	"nothing":             "",
+	"part of status line": "HTTP/1.1 2",
+	"status line":         "HTTP/1.1 200 OK\r\n",
+	"interim answer":      "HTTP/1.1 103 Early Hints\r\n\r\n",
+	"part of a field":     "HTTP/1.1 200 OK\r\nContent-Len",
+	"head":                "HTTP/1.1 200 OK\r\n" + standin.HeaderID + ": %s\r\nContent-Length: 4000\r\n\r\n",
+	"part of the body":    "HTTP/1.1 200 OK\r\n" + standin.HeaderID + ": %s\r\nContent-Length: 4000\r\n\r\nabc",
+	"part of a chunk":     "HTTP/1.1 200 OK\r\n" + standin.HeaderID + ": %s\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab",
+	"last chunk":          "HTTP/1.1 200 OK\r\n" + standin.HeaderID + ": %s\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n",
+}
+
+// endAfter sends what a stage says, and then ends the connection.
+func endAfter(stage string, end func(s *scriptedTarget, conn net.Conn)) func(s *scriptedTarget, conn net.Conn, id string) {
+	return func(s *scriptedTarget, conn net.Conn, id string) {
+		_, _ = conn.Write([]byte(strings.ReplaceAll(answerStages[stage], "%s", id)))
+		time.Sleep(10 * time.Millisecond) // a reset takes back what the host has not read yet
+		end(s, conn)
+	}
+}
+
+// crashSlowly ends the connection some time before nothing listens any more.
+func crashSlowly(s *scriptedTarget, conn net.Conn) {
+	_ = conn.(*net.TCPConn).SetLinger(0)
+	time.AfterFunc(endCheckTime/3, s.end)
+}
+
+// Guards against a request that ends one target after the other (review/5, review/7): with
+// each target that runs it, all work there is lost. It does not matter what the target had
+// sent by then, nor that its connections end before its listener.
 func TestRequestThatEndsTargetsIsQuarantined(t *testing.T) {
-	for path, atMost := range map[string]int{unsafePath: suspects.CrashThreshold, safePath: suspects.CrashThreshold + 1} {
-		t.Run(path, func(t *testing.T) {
-			targets := endingTargets(t, 8, crash)
-			n, url := newServingNode(t, targets...)
-			out := logTo(t, n)
-			refused := sendPoison(t, url, path, func() {
-				poll.WaitOn(t, func(poll.LogT) poll.Result {
-					if n.ends() < arrivals(targets) {
-						return poll.Continue("%d of %d ends are known", n.ends(), arrivals(targets))
-					}
-					return poll.Success()
-				}, poll.WithDelay(2*time.Millisecond))
-			})
-			arrived := arrivals(targets)
-			assert.Assert(t, arrived >= suspects.CrashThreshold && arrived <= atMost, "%d arrived", arrived)
-			assert.Assert(t, refused >= 8-arrived, "%d of 8 refused", refused)
-			for i := range 5 {
-				status, _, _, err := ask(t, url, path+"poison", fmt.Sprintf("other-%d", i), strings.NewReader("another body"))
-				if err == nil && status != http.StatusServiceUnavailable {
-					break // it reached a target, as it should
-				}
-				assert.Assert(t, i < 4, "a request with another body is refused")
+	for stage := range answerStages {
+		for name, end := range map[string]func(*scriptedTarget, net.Conn){"": crash, ", slow end": crashSlowly} {
+			for path, atMost := range map[string]int{unsafePath: suspects.CrashThreshold, safePath: suspects.CrashThreshold + 1} {
+				t.Run(path+" "+stage+name, func(t *testing.T) {
+					t.Parallel()
+					testRequestThatEndsTargets(t, path, atMost, endAfter(stage, end))
+				})
 			}
-			poll.WaitOn(t, func(poll.LogT) poll.Result { // the log is written in the background
-				if out.lineWith("MP6106") == "" {
-					return poll.Continue("not logged")
-				}
-				return poll.Success()
-			}, poll.WithDelay(2*time.Millisecond))
-		})
+		}
 	}
 }
 
+func testRequestThatEndsTargets(t *testing.T, path string, atMost int, end func(*scriptedTarget, net.Conn, string)) {
+	t.Helper()
+	targets := endingTargets(t, 8, end)
+	n, url := newServingNode(t, targets...)
+	out := logTo(t, n)
+	refused := sendPoison(t, url, path, func() {
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			if n.ends() < arrivals(targets) {
+				return poll.Continue("%d of %d ends are known", n.ends(), arrivals(targets))
+			}
+			return poll.Success()
+		}, poll.WithDelay(2*time.Millisecond))
+	})
+	arrived := arrivals(targets)
+	assert.Assert(t, arrived >= suspects.CrashThreshold && arrived <= atMost, "%d arrived", arrived)
+	assert.Assert(t, refused >= 8-arrived, "%d of 8 refused", refused)
+	for i := range 5 {
+		status, _, _, err := ask(t, url, path+"poison", fmt.Sprintf("other-%d", i), strings.NewReader("another body"))
+		if err == nil && status != http.StatusServiceUnavailable {
+			break // it reached a target, as it should
+		}
+		assert.Assert(t, i < 4, "a request with another body is refused")
+	}
+	poll.WaitOn(t, func(poll.LogT) poll.Result { // the log is written in the background
+		if out.lineWith("MP6106") == "" {
+			return poll.Continue("not logged")
+		}
+		return poll.Success()
+	}, poll.WithDelay(2*time.Millisecond))
+}
+
 // Connections that a link or a target resets, and the planned end of a target, are no
 // sign of a request that ends targets.
 func TestBrokenConnectionsDoNotQuarantine(t *testing.T) {
-	t.Run("reset", func(t *testing.T) {
-		targets := endingTargets(t, 8, func(_ *scriptedTarget, conn net.Conn) { _ = conn.(*net.TCPConn).SetLinger(0) })
-		n, url := newServingNode(t, targets...)
-		refused := sendPoison(t, url, unsafePath, func() { time.Sleep(50 * time.Millisecond) })
-		assert.Equal(t, arrivals(targets), 8)
-		assert.Equal(t, refused, 0)
-		assert.Equal(t, n.ends(), 0)
-	})
+	for stage := range answerStages {
+		for name, end := range map[string]func(*scriptedTarget, net.Conn){
+			"reset": func(_ *scriptedTarget, conn net.Conn) { _ = conn.(*net.TCPConn).SetLinger(0) },
+			"close": func(*scriptedTarget, net.Conn) {},
+		} {
+			t.Run(name+" after "+stage, func(t *testing.T) {
+				t.Parallel()
+				targets := endingTargets(t, 8, endAfter(stage, end))
+				n, url := newServingNode(t, targets...)
+				refused := sendPoison(t, url, unsafePath, func() { time.Sleep(50 * time.Millisecond) })
+				assert.Equal(t, arrivals(targets), 8)
+				assert.Equal(t, refused, 0)
+				assert.Equal(t, n.ends(), 0)
+			})
+		}
+	}
 	t.Run("leaving", func(t *testing.T) {
 		n, _ := newServingNode(t)
 		owner := keyrange.Owner{Target: "t0", Run: 1, Addr: "127.0.0.1:1"} // nothing listens there
--- a/internal/entry/serving_test.go
+++ b/internal/entry/serving_test.go
@@ -36,6 +36,7 @@
 
 	mu       sync.Mutex
 	requests []string // IDs, in the order of arrival
+	conns    []net.Conn
 }
 
 type targetScript func(conn net.Conn, r *http.Request, number int) bool
@@ -60,6 +61,9 @@
 
 func (s *scriptedTarget) serve(conn net.Conn, script targetScript) {
 	defer conn.Close()
+	s.mu.Lock()
+	s.conns = append(s.conns, conn)
+	s.mu.Unlock()
 	reader := bufio.NewReader(conn)
 	for number := 0; ; number++ {
 		r, err := http.ReadRequest(reader)
@@ -76,6 +80,17 @@
 	}
 }
 
+// end closes the listener and resets all connections, as the end of a process does.
+func (s *scriptedTarget) end() {
+	_ = s.listener.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, conn := range s.conns {
+		_ = conn.(*net.TCPConn).SetLinger(0)
+		_ = conn.Close()
+	}
+}
+
 func (s *scriptedTarget) received() []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/entry/targetconn.go
+++ b/internal/entry/targetconn.go
@@ -103,8 +103,9 @@
 
 // limitedReader reads at most left bytes, then fails.
 type limitedReader struct {
-	reader io.Reader
-	left   int64
+	reader   io.Reader
+	left     int64
+	hasEnded bool // the connection was closed or reset
 }
 
 // Read implements io.Reader.
@@ -114,6 +115,7 @@
 	}
 	n, err := l.reader.Read(p[:min(int64(len(p)), l.left)])
 	l.left -= int64(n)
+	l.hasEnded = l.hasEnded || errors.IsAny(err, io.EOF, syscall.ECONNRESET)
 	return n, err
 }
 
--- a/internal/entry/targetend.go
+++ b/internal/entry/targetend.go
@@ -2,17 +2,25 @@
 
 import (
 	"context"
+	"io"
+	"syscall"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
 
 	"github.com/mangopost/mangopost/ownership/keyrange"
 	"github.com/mangopost/mangopost/routing"
 )
 
-// endCheckInterval is the least time between two checks whether a target has ended, so
-// that targets that reset connections are not asked again and again.
-const endCheckInterval = time.Second
+const (
+	// endCheckInterval is the least time between two checks whether a target has ended,
+	// so that targets that reset connections are not asked again and again.
+	endCheckInterval = time.Second
+	// endCheckTime is how long the connection of a check is watched: a process that ends
+	// may reset its connections before its listener is gone.
+	endCheckTime = 100 * time.Millisecond
+)
 
 // endCheck is a check whether a target has ended. hasEnded may be read once done is
 // closed.
@@ -50,7 +58,7 @@
 func (c *call) recordOutcome(owner keyrange.Owner, t attempt) {
 	q := c.node.quarantine
 	switch {
-	case t.brokeUnanswered:
+	case t.brokeUnfinished:
 		fp := c.fingerprint()
 		isSuspect := !q.isEmpty() && q.ends(fp) > 0
 		done := make(chan struct{})
@@ -59,7 +67,7 @@
 			c.node.recordEnd(c.ID, fp, owner)
 		})
 		if isSuspect {
-			<-done // the check ends after dialTimeout
+			<-done // the check ends after two connections and endCheckTime
 		}
 	case t.answer != nil && !t.reply.SaysNotRun:
 		fp := c.fingerprint()
@@ -79,8 +87,8 @@
 	return record.Evidence()
 }
 
-// recordEnd counts the request with the given ID, whose connection broke without an answer, if its target
-// has ended. A target that is known to be leaving ends by plan.
+// recordEnd counts the request with the given ID, whose connection broke before its answer
+// was whole, if its target has ended. A target that is known to be leaving ends by plan.
 func (n *Node) recordEnd(id string, fp routing.Fingerprint, owner keyrange.Owner) {
 	n.mu.Lock()
 	e, ok := n.directory.Get(owner.Target)
@@ -113,10 +121,21 @@
 	q.endChecks[owner] = check
 	q.mu.Unlock()
 	defer close(check.done)
-	conn, err := n.conns.dial.DialContext(context.Background(), "tcp", owner.Addr)
-	if err == nil {
-		_ = conn.Close() // nothing was sent
-	}
-	check.hasEnded = isConnRefused(err)
+	check.hasEnded = n.conns.isRefused(owner.Addr, endCheckTime)
 	return check.hasEnded
 }
+
+// isRefused reports whether nothing listens at an address. A connection is watched for a
+// while; if it ends, the address is tried once more.
+func (p *connPool) isRefused(addr string, watch time.Duration) bool {
+	conn, err := p.dial.DialContext(context.Background(), "tcp", addr)
+	if err != nil {
+		return isConnRefused(err)
+	}
+	defer conn.Close() // nothing was sent
+	if watch == 0 || conn.SetReadDeadline(time.Now().Add(watch)) != nil {
+		return false
+	}
+	_, err = conn.Read(make([]byte, 1))
+	return errors.IsAny(err, io.EOF, syscall.ECONNRESET) && p.isRefused(addr, 0)
+}
--- a/internal/router/poison_test.go
+++ b/internal/router/poison_test.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
+	"sync"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"github.com/mangopost/mangopost/internal/platform"
 	"github.com/mangopost/mangopost/internal/standin"
@@ -41,6 +44,37 @@
 	q.awaitPending(ended, 7)
 }
 
+// Guards against a request that ends targets after they have begun to answer it (review/7):
+// a connection that breaks within an answer makes it a candidate, like one that breaks before.
+func TestRequestOfBrokenAnswerIsCrashCandidate(t *testing.T) {
+	t.Parallel()
+	p := startPair(t, &faultyTarget{}, pairOptions{listener: Listener{TrustClientHeader: true, MaxBodyBytes: 1024}})
+	for _, path := range []string{"/gone", "/short", "/long-cut", "/long-cut-sized"} {
+		var asked sync.WaitGroup
+		asked.Go(func() {
+			response := p.post(t, path)
+			_, _ = io.Copy(io.Discard, response.Body) // a long one ends with an error
+		})
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			p.b.quarantine.mu.Lock()
+			defer p.b.quarantine.mu.Unlock()
+			if len(p.b.quarantine.pending) == 0 {
+				return poll.Continue("%s: no candidate", path)
+			}
+			return poll.Success()
+		}, poll.WithDelay(time.Millisecond), poll.WithTimeout(2*time.Second))
+		poll.WaitOn(t, func(poll.LogT) poll.Result { // the target has not ended
+			p.b.quarantine.mu.Lock()
+			defer p.b.quarantine.mu.Unlock()
+			if len(p.b.quarantine.pending) > 0 || p.b.quarantine.table.Len() > 0 {
+				return poll.Continue("%s: not evaluated", path)
+			}
+			return poll.Success()
+		}, poll.WithDelay(10*time.Millisecond))
+		asked.Wait()
+	}
+}
+
 func TestClearedSuspectIsWithdrawn(t *testing.T) {
 	store := standin.NewPlatform(standin.PlatformOptions{}).View("kl-1")
 	q := newQuarantine(&Router{start: time.Now(), store: store})
--- a/internal/router/targetanswer.go
+++ b/internal/router/targetanswer.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/mangopost/mangopost/admission"
+	"github.com/mangopost/mangopost/internal/memlimit"
 	"github.com/mangopost/mangopost/internal/wire/pb"
 	"github.com/mangopost/mangopost/routing"
 )
@@ -58,7 +59,7 @@
 	}
 	body, err := w.router.readAnswer(ctx, response)
 	if err != nil {
-		return w.brokenAnswer(ctx, f)
+		return w.brokenAnswer(ctx, f, err)
 	}
 	if len(body) <= maxBufferedAnswerBytes {
 		w.router.quarantine.recordRun(f)
@@ -66,13 +67,17 @@
 		return a, admission.Result{Kind: admission.Completed}
 	}
 	t.setCancel(nil)
-	return w.streamAnswer(a, body, response.Body, out)
+	return w.streamAnswer(ctx, f, a, body, response.Body, out)
 }
 
-func (w *worker) brokenAnswer(ctx context.Context, f *pb.Forward) (*pb.Answer, admission.Result) {
+func (w *worker) brokenAnswer(ctx context.Context, f *pb.Forward, err error) (*pb.Answer, admission.Result) {
 	if ctx.Err() != nil {
 		return unknownDeadline(f.Id), admission.Result{Kind: admission.Cancelled}
 	}
+	if !errors.Is(err, memlimit.ErrRefused) {
+		// The target may have ended with the request, whatever it had sent by then.
+		w.router.quarantine.addCandidate(w.name, f)
+	}
 	return unknown(f.Id, reasonAnswerBroken), admission.Result{Kind: admission.Failed}
 }
 
@@ -103,7 +108,7 @@
 
 // streamAnswer writes a long answer to out in parts. The last part is marked as such
 // only if the target's answer ended cleanly.
-func (w *worker) streamAnswer(a *pb.Answer, first []byte, rest io.Reader, out sink) (*pb.Answer, admission.Result) {
+func (w *worker) streamAnswer(ctx context.Context, f *pb.Forward, a *pb.Answer, first []byte, rest io.Reader, out sink) (*pb.Answer, admission.Result) {
 	a.More = true
 	a.Body = first
 	if err := out.writeHead(a); err != nil {
@@ -114,12 +119,16 @@
 		n, err := rest.Read(buf)
 		last := errors.Is(err, io.EOF)
 		if err != nil && !last {
+			if ctx.Err() == nil {
+				w.router.quarantine.addCandidate(w.name, f)
+			}
 			return a, admission.Result{Kind: admission.Failed}
 		}
 		if sendErr := out.writeChunk(buf[:n], last); sendErr != nil {
 			return a, admission.Result{Kind: admission.Cancelled}
 		}
 		if last {
+			w.router.quarantine.recordRun(f)
 			return a, admission.Result{Kind: admission.Completed}
 		}
 	}
