The end of a stream after a reset is no end of an answer

A target answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was still being written. The caller got the part as a complete answer (MIXED), at mangopost-entry with uploads of 20 MB and at mangopost-router with 3.9 MB.

Cause: the kernel tells of a reset once, and to the writer if one waits. The reader then sees the end of the stream, which ends an answer without a length.

Change: internal/tcpconn asks for the connection's state at the end of a stream. It is clean only if the peer closed its side before any reset; the table is in docs/design/026. Connections to targets and to the store are of this kind in both programs, for requests and for orders. Early answers that end cleanly are delivered whole, also if the target stops reading or resets the connection later.

--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -279,7 +279,7 @@
 	if buf.Len()+partsLength(o.body) > asyncBodyBytes {
 		parts := append(net.Buffers{buf.Bytes()}, o.body...)
 		go func() {
-			_, err := parts.WriteTo(conn)
+			_, err := conn.WriteBuffers(parts)
 			written <- err
 		}()
 		return true, nil
--- a/internal/entry/serving_test.go
+++ b/internal/entry/serving_test.go
@@ -105,9 +105,15 @@
 // newServingNode returns a node with one service of the given targets, and the URL at
 // which it takes callers' requests.
 func newServingNode(t *testing.T, targets ...*scriptedTarget) (*Node, string) {
+	t.Helper()
+	return newServingNodeWithMemory(t, 0, targets...)
+}
+
+// newServingNodeWithMemory is like newServingNode, with a process's memory in bytes.
+func newServingNodeWithMemory(t *testing.T, memory int64, targets ...*scriptedTarget) (*Node, string) {
 	t.Helper()
 	addr := netip.MustParseAddrPort("127.0.0.1:9")
-	s := &platform.Settings{Host: "h", DataCentre: "here", IP: addr.Addr(), Store: addr, Peers: addr, Heartbeat: time.Second}
+	s := &platform.Settings{Host: "h", DataCentre: "here", IP: addr.Addr(), Store: addr, Peers: addr, Heartbeat: time.Second, Memory: memory}
 	s.Bounds.RetryWindow, s.Bounds.RetryRatio, s.Bounds.RetrySlack = 10*time.Second, 0.2, 1000
 	n := New(s, 0, nil, hclog.New(&hclog.LoggerOptions{Output: io.Discard}))
 	route := func(prefix string, idempotent bool) routing.Route {
--- a/internal/entry/targetconn.go
+++ b/internal/entry/targetconn.go
@@ -15,6 +15,8 @@
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
+
+	"github.com/mangopost/mangopost/internal/tcpconn"
 )
 
 const (
@@ -40,7 +42,7 @@
 
 // targetConn is a connection to a target, used for one request at a time.
 type targetConn struct {
-	*net.TCPConn
+	*tcpconn.Conn
 	reader      *bufio.Reader  // nil while idle
 	limit       *limitedReader // below reader
 	lastID      string         // ID of the last request
@@ -89,9 +91,9 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "connect to target")
 	}
-	tcp := conn.(*net.TCPConn) // the network is tcp
+	tcp := tcpconn.New(conn.(*net.TCPConn)) // the network is tcp
 	limit := &limitedReader{reader: tcp, left: math.MaxInt64}
-	return &targetConn{TCPConn: tcp, limit: limit, reader: newReader(limit), idleTimeout: defaultIdleTimeout}, nil
+	return &targetConn{Conn: tcp, limit: limit, reader: newReader(limit), idleTimeout: defaultIdleTimeout}, nil
 }
 
 // readerPool holds the read buffers. Idle connections have none, because a host
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/mangopost/mangopost/internal/tcpconn"
 )
 
 // CallerHeader is the header that names the calling host in each call.
@@ -59,7 +61,7 @@
 func NewClient(opts Options) *Client {
 	opts = opts.withDefaults()
 	transport := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: opts.CallTimeout}).DialContext,
+		DialContext:         tcpconn.DialContext(&net.Dialer{Timeout: opts.CallTimeout}),
 		MaxIdleConnsPerHost: idleConnections,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
--- a/internal/router/targetconn.go
+++ b/internal/router/targetconn.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/mangopost/mangopost/internal/tcpconn"
 )
 
 const (
@@ -54,9 +56,9 @@
 // newTransport returns the transport for connections to one target. onLost, if not nil,
 // is called for each connection that the target ended.
 func newTransport(connections int, onLost func()) *http.Transport {
-	dialer := net.Dialer{Timeout: targetDialTimeout}
+	dialTCP := tcpconn.DialContext(&net.Dialer{Timeout: targetDialTimeout})
 	dial := func(ctx context.Context, network, addr string) (net.Conn, error) {
-		conn, err := dialer.DialContext(ctx, network, addr)
+		conn, err := dialTCP(ctx, network, addr)
 		if err != nil {
 			return nil, err
 		}
