Retry-After of a quarantined request while a probe may be answered

A trial with twenty copies of a poison request at once beside one harmless request of ten clients showed harmless ones refused with Retry-After 10 s for 0.3 s after the probe that cleared them: the next probe was 30 s away, but the answer of the last one was about to come. For 10 s after a probe was taken Retry-After is 1 s now.

An answer that one host saw shortly before a crash now also clears the crash that another host reports; before, only the reporting host's own answers did, and the next answer elsewhere cleared it. Marks are only ever set, so records still merge in any order.

TestRunThatAnswersClearsSuspect uses a request of its own for the quarantined one, which the host that reports had just answered.

--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -135,14 +135,22 @@
 	if c.isProbe = c.node.takeProbe(c.r.Context(), c.ID, fp, v); c.isProbe {
 		return true
 	}
-	retryAfter := maxQuarantineRetryAfter
-	if v.HasProbe {
-		retryAfter = min(max(v.ProbeIn, minQuarantineRetryAfter), maxQuarantineRetryAfter)
-	}
-	c.refuse("quarantined", retryAfter)
+	c.refuse("quarantined", quarantineRetryAfter(v))
 	return false
 }
 
+// quarantineRetryAfter returns the Retry-After of a quarantined request.
+func quarantineRetryAfter(v routing.Verdict) time.Duration {
+	switch {
+	case v.IsProbed:
+		return minQuarantineRetryAfter
+	case v.HasProbe:
+		return min(max(v.ProbeIn, minQuarantineRetryAfter), maxQuarantineRetryAfter)
+	default:
+		return maxQuarantineRetryAfter
+	}
+}
+
 // endProbe ends the probe of a quarantined request.
 func (c *call) endProbe() {
 	if c.isProbe {
--- a/internal/entry/quarantine.go
+++ b/internal/entry/quarantine.go
@@ -19,8 +19,8 @@
 	// are told of it, so that the first of them that sees it run to an answer clears it.
 	sharedEnds = 2
 	// minQuarantineRetryAfter and maxQuarantineRetryAfter bound the Retry-After of a
-	// quarantined request: the caller is to be there when a probe is due, and not to ask
-	// for nothing all the time.
+	// quarantined request: the caller is to be there when a probe is due or answered, and
+	// not to ask for nothing all the time.
 	minQuarantineRetryAfter = time.Second
 	maxQuarantineRetryAfter = 10 * time.Second
 )
--- a/routing/poison.go
+++ b/routing/poison.go
@@ -112,7 +112,6 @@
 // unlikely to run during a second crash as well. It returns the record and
 // whether it changed and must be shared.
 func (p *Poison) RecordCrash(fp Fingerprint, service, client string, c Crash) (Suspect, bool) {
-	c.Cleared = c.Cleared || p.answers.since(fp, c.AtMS-answeredBefore.Milliseconds())
 	return p.Merge(Suspect{
 		Fingerprint: fp.String(),
 		Service:     service,
@@ -139,6 +138,7 @@
 	record := p.recordFor(fp, s.Service)
 	changed := false
 	for _, c := range s.Crashes {
+		c.Cleared = c.Cleared || p.answers.since(fp, c.AtMS-answeredBefore.Milliseconds())
 		changed = record.addCrash(c) || changed
 	}
 	for _, client := range s.Clients {
--- a/routing/suspicion.go
+++ b/routing/suspicion.go
@@ -41,6 +41,10 @@
 	return place.fp == fp && place.atMS >= atMS
 }
 
+// probeResultTime is how long after a probe was taken its answer may still come: the
+// targets may have to come back before it runs.
+const probeResultTime = 10 * time.Second
+
 // Verdict says whether a request may run.
 type Verdict struct {
 	// Refused means that the request must not run, other than as a probe.
@@ -50,6 +54,9 @@
 	HasProbe bool
 	ProbeDue bool
 	ProbeIn  time.Duration
+	// IsProbed means that a host took a probe of late, whose answer may clear the request
+	// at any moment.
+	IsProbed bool
 	// Probes is the number of probes that are known to have been taken. The next one
 	// must be taken under the next number.
 	Probes int
@@ -63,8 +70,11 @@
 		return Verdict{}
 	}
 	s := p.entries[fp].Value.(*Suspect)
-	v := Verdict{Refused: true, Probes: s.Probes}
 	next := s.probesUsed()
+	v := Verdict{
+		Refused: true, Probes: s.Probes,
+		IsProbed: next > 0 && now.UnixMilli()-s.ProbeMS < probeResultTime.Milliseconds(),
+	}
 	if s.incidents() >= p.cfg.CrashThreshold {
 		// Crashes one after the other, with no answer between them, are no coincidence.
 		next = max(next, 1)
