--- a/internal/entry/probes.go
+++ b/internal/entry/probes.go
@@ -30,7 +30,7 @@
 // probeClaim is a host's claim of a probe of one request.
 type probeClaim struct {
 	at       time.Duration // when the claim was requested, or when its probe was not used
-	isActive bool          // the claim is under way or its probe runs
+	isActive bool          // the claim is being made, or its probe runs
 	isUnused bool          // the probe was claimed and has reached no target yet
 }
 
--- a/ownership/grants/ledger.go
+++ b/ownership/grants/ledger.go
@@ -67,7 +67,7 @@
 
 func placeOf(o keyrange.Owner) place { return place{o.Target, o.Addr} }
 
-// entry is what is known of the grants of one span to one holder.
+// entry sums up the grants of one span to one holder.
 type entry struct {
 	end           time.Duration // latest end of all grants
 	unansweredEnd time.Duration // latest end of the grants that were not answered
