--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -9,7 +9,7 @@
 )
 
 func main() {
-	cases := map[string]func(*record, string) int{"drill": drill, "unread": unread, "hup": hup}
+	cases := map[string]func(*record, string) int{"drill": drill, "unread": unread, "slow-heads": slowHeads, "hup": hup}
 	play, ok := cases[os.Args[1]]
 	if !ok {
 		fmt.Fprintln(os.Stderr, "no such case")
--- a/review/standin-3/unread.go
+++ b/review/standin-3/unread.go
@@ -21,6 +21,9 @@
 	crowdAnswer = 16000 // bytes of each answer
 	crowdAhead  = 400   // requests that each sends ahead at once
 	crowdPause  = time.Second
+	// slowHeadCrowd clients send a byte of their heads each slowHeadGap.
+	slowHeadCrowd = 1700
+	slowHeadGap   = 100 * time.Millisecond
 	// crowdTaken is the age from which a connection of the crowd counts as taken.
 	crowdTaken = 500 * time.Millisecond
 	// newConnectionLimit is stablePeriodMs, for which a ready machine may not go without
@@ -35,6 +38,17 @@
 // unread: a crowd of clients sends many requests ahead on each connection and doesn't read
 // the answers; ordinary callers with a new connection for each request go on.
 func unread(rec *record, dir string) int {
+	return shutOut(rec, dir, crowdSize, time.Millisecond, crowdClient)
+}
+
+// slowHeads: a crowd of clients sends the heads of its requests a byte at a time.
+func slowHeads(rec *record, dir string) int {
+	return shutOut(rec, dir, slowHeadCrowd, time.Millisecond, slowHeadClient)
+}
+
+// shutOut plays a crowd of such clients beside ordinary callers, and looks for a time in
+// which a machine that says it is ready takes no new connection.
+func shutOut(rec *record, dir string, crowd int, step time.Duration, client func(*host, string, *atomic.Int64, *atomic.Int64, *gap)) int {
 	store := standin.NewStore()
 	configure(store, "catalog")
 	addr := serveStore(store)
@@ -48,18 +62,17 @@
 	var open, closed atomic.Int64
 	var taken gap
 	taken.take()
-	crowd := envInt("CROWD", crowdSize)
 	if hasTrouble() {
 		for i := range crowd {
 			go func() {
-				time.Sleep(time.Duration(i) * time.Millisecond)
+				time.Sleep(time.Duration(i) * step)
 				for n := 0; ; n++ {
 					select {
 					case <-stop:
 						return
 					default:
 					}
-					crowdClient(h, fmt.Sprintf("c%d-%d", i, n), &open, &closed, &taken)
+					client(h, fmt.Sprintf("c%d-%d", i, n), &open, &closed, &taken)
 					time.Sleep(crowdPause)
 				}
 			}()
@@ -206,3 +219,34 @@
 	}
 	return last
 }
+
+// slowHeadClient opens a connection and sends the head of a request a byte at a time.
+func slowHeadClient(h *host, id string, open, closed *atomic.Int64, taken *gap) {
+	d := net.Dialer{Timeout: time.Second}
+	c, err := d.Dial("tcp", net.JoinHostPort(h.ip, fmt.Sprint(h.callers)))
+	if err != nil {
+		return
+	}
+	defer c.Close()
+	open.Add(1)
+	defer open.Add(-1)
+	defer closed.Add(1)
+	timer := time.AfterFunc(crowdTaken, taken.take)
+	defer timer.Stop()
+	go func() { // notices at once that the connection was closed
+		_, _ = c.Read(make([]byte, 1))
+		timer.Stop()
+		_ = c.Close()
+	}()
+	head := fmt.Sprintf("GET /browse/1500 HTTP/1.1\r\nHost: shop.example\r\nAttempt-Id: %s\r\nDeadline-Ms: 1500\r\n", id)
+	for i := 0; ; i++ {
+		text := "x"
+		if i < len(head) {
+			text = head[i : i+1]
+		}
+		if _, err := c.Write([]byte(text)); err != nil {
+			return
+		}
+		time.Sleep(slowHeadGap)
+	}
+}
